--- /dev/null
+++ b/filbertroad/net/link.hpp
@@ -0,0 +1,97 @@
+#ifndef FILBERTROAD_NET_LINK_HPP
+#define FILBERTROAD_NET_LINK_HPP
+
+/// A link between two processes: one TCP connection with HTTP/2 framing (nghttp2) that carries one
+/// long-lived stream of link_message frames in each direction. Messages queued in one iteration of
+/// the event loop are sent together.
+///
+///     net::link_server server(io, address, handlers);          // accepts links
+///     auto link = net::link::connect(io, "127.0.0.1:7101", handlers);
+///     link->send(message);
+///
+/// A link is bound to its io_context; send() and close() may be called from any thread, handlers
+/// are called on the link's strand.
+
+#include "filbertroad/base/result.hpp"
+#include "filbertroad/wire/link.pb.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace filbertroad::net
+{
+
+enum class net_error
+{
+    bad_address,
+    cannot_bind,
+    cannot_connect,
+    timeout,
+    protocol,
+    closed,
+    too_large,
+};
+
+class link;
+
+struct link_handlers
+{
+    /// The connection is up and messages can be sent.
+    std::function<void(std::shared_ptr<link> const&)> on_open;
+    std::function<void(std::shared_ptr<link> const&, wire::link_message&)> on_message;
+    /// Called once; also for a connection that could not be made. The link is dead afterwards.
+    std::function<void(std::shared_ptr<link> const&, base::error<net_error> const&)> on_closed;
+};
+
+/// Counters of one link, since it was opened.
+struct link_counters
+{
+    std::uint64_t messages_sent = 0;
+    std::uint64_t messages_received = 0;
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t bytes_received = 0;
+};
+
+class link : public std::enable_shared_from_this<link>
+{
+public:
+    /// Bytes that may wait to be sent; a link whose peer reads too slowly is closed beyond it.
+    static constexpr std::size_t max_send_backlog = 64UL * 1024 * 1024;
+
+    /// Starts to connect to `address` (IP:PORT). The result is told through the handlers.
+    static std::shared_ptr<link> connect(boost::asio::io_context& io, std::string_view address,
+                                         link_handlers handlers);
+
+    virtual ~link() = default;
+
+    /// Number of this link, unique in the process and growing.
+    [[nodiscard]] virtual std::uint64_t number() const = 0;
+    /// Queues a message. Messages on a closed link are dropped; on_closed tells.
+    virtual void send(wire::link_message const& message) = 0;
+    /// Sends what is queued, then closes.
+    virtual void close() = 0;
+    [[nodiscard]] virtual link_counters counters() const = 0;
+};
+
+/// Accepts links on an address.
+class link_server
+{
+public:
+    /// Binds `address` (IP:PORT) at once.
+    static base::result<std::unique_ptr<link_server>, base::error<net_error>>
+    listen(boost::asio::io_context& io, std::string_view address, link_handlers handlers);
+
+    virtual ~link_server() = default;
+    /// Port in use, for an address with port 0.
+    [[nodiscard]] virtual std::uint16_t port() const = 0;
+    /// Accepts no more links; existing links stay.
+    virtual void stop() = 0;
+};
+
+} // namespace filbertroad::net
+
+#endif
