Add links over TCP with HTTP/2 framing

Cause: entries and agents need a message stream that keeps order, is cheap for many small messages and ends with a clear reason.

Change: filbertroad/net implements link.hpp with Asio and nghttp2. Reading uses a buffer of the thread, so idle links hold no read buffer. The lifecycle is a Boost.MSM machine.

Conclusion: the link interface can be used by the entry and agent processes.

--- /dev/null
+++ b/filbertroad/net/internal/address.cpp
@@ -0,0 +1,69 @@
+#include "filbertroad/net/internal/address.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <string>
+
+namespace filbertroad::net::internal
+{
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+base::result<tcp::endpoint, base::error<net_error>> parse_address(std::string_view address)
+{
+    auto const bad = [&]
+    {
+        return base::error<net_error>{net_error::bad_address,
+                                      "expected IP:PORT, got '" + std::string(address) + "'"};
+    };
+    auto const colon = address.rfind(':');
+    if (colon == std::string_view::npos)
+    {
+        return bad();
+    }
+    auto host = address.substr(0, colon);
+    auto const digits = address.substr(colon + 1);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+    {
+        host = host.substr(1, host.size() - 2);
+    }
+    std::uint16_t port = 0;
+    auto const [end, fault] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    boost::system::error_code code;
+    auto const ip = asio::ip::make_address(std::string(host), code);
+    if (code || fault != std::errc() || digits.empty() || end != digits.data() + digits.size())
+    {
+        return bad();
+    }
+    return tcp::endpoint(ip, port);
+}
+
+base::result<acceptor_type, base::error<net_error>> open_acceptor(asio::io_context& io,
+                                                                  std::string_view address)
+{
+    BOOST_OUTCOME_TRY(auto endpoint, parse_address(address));
+    acceptor_type acceptor(io);
+    boost::system::error_code code;
+    acceptor.open(endpoint.protocol(), code);
+    if (!code)
+    {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), code);
+    }
+    if (!code)
+    {
+        acceptor.bind(endpoint, code);
+    }
+    if (!code)
+    {
+        acceptor.listen(asio::socket_base::max_listen_connections, code);
+    }
+    if (code)
+    {
+        return base::error<net_error>{net_error::cannot_bind, "cannot listen on " +
+                                                                  std::string(address) + ": " +
+                                                                  code.message()};
+    }
+    return acceptor;
+}
+
+} // namespace filbertroad::net::internal
--- /dev/null
+++ b/filbertroad/net/internal/link_lifecycle.cpp
@@ -0,0 +1,108 @@
+#include "filbertroad/net/internal/link_lifecycle.hpp"
+
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace filbertroad::net::internal
+{
+namespace
+{
+
+namespace msm = boost::msm;
+
+struct connected
+{
+};
+struct opened
+{
+};
+struct close_requested
+{
+};
+struct ended
+{
+};
+
+struct connecting : msm::front::state<>
+{
+};
+struct handshaking : msm::front::state<>
+{
+};
+struct open : msm::front::state<>
+{
+};
+struct draining : msm::front::state<>
+{
+};
+struct closed : msm::front::state<>
+{
+};
+
+struct definition : msm::front::state_machine_def<definition>
+{
+    using initial_state = connecting;
+
+    template <class Start, class Event, class Target>
+    using step = msm::front::Row<Start, Event, Target>;
+
+    // The order of first use numbers the states as in link_state.
+    // clang-format off
+    struct transition_table : boost::mpl::vector<
+        step<connecting,  connected,       handshaking>,
+        step<handshaking, opened,          open>,
+        step<open,        close_requested, draining>,
+        step<draining,    ended,           closed>,
+        step<connecting,  close_requested, draining>,
+        step<handshaking, close_requested, draining>,
+        step<connecting,  ended,           closed>,
+        step<handshaking, ended,           closed>,
+        step<open,        ended,           closed>>
+    {
+    };
+    // clang-format on
+
+    template <class Machine, class Event>
+    void no_transition(Event const&, Machine&, int)
+    {
+    }
+};
+
+} // namespace
+
+class link_lifecycle::machine : public msm::back::state_machine<definition>
+{
+};
+
+link_lifecycle::link_lifecycle() : content(std::make_unique<machine>())
+{
+    this->content->start();
+}
+
+link_lifecycle::~link_lifecycle() = default;
+
+bool link_lifecycle::apply(link_event event)
+{
+    switch (event)
+    {
+    case link_event::connected:
+        this->content->process_event(connected{});
+        break;
+    case link_event::opened:
+        this->content->process_event(opened{});
+        break;
+    case link_event::close_requested:
+        this->content->process_event(close_requested{});
+        break;
+    case link_event::ended:
+        this->content->process_event(ended{});
+        break;
+    }
+    auto const before = this->current;
+    this->current = static_cast<link_state>(this->content->current_state()[0]);
+    return this->current != before;
+}
+
+} // namespace filbertroad::net::internal
--- /dev/null
+++ b/filbertroad/net/internal/link_lifecycle.hpp
@@ -0,0 +1,56 @@
+#ifndef FILBERTROAD_NET_INTERNAL_LINK_LIFECYCLE_HPP
+#define FILBERTROAD_NET_INTERNAL_LINK_LIFECYCLE_HPP
+
+/// Named states of a link and the steps between them.
+///
+///     internal::link_lifecycle lifecycle;
+///     lifecycle.apply(internal::link_event::connected);
+///     lifecycle.state() == internal::link_state::handshaking;
+
+#include <memory>
+
+namespace filbertroad::net::internal
+{
+
+enum class link_state
+{
+    connecting,
+    /// TCP is connected, the peer has not yet opened its direction of the stream.
+    handshaking,
+    open,
+    /// No new messages; what is queued is sent.
+    draining,
+    closed,
+};
+
+enum class link_event
+{
+    connected,
+    opened,
+    close_requested,
+    ended,
+};
+
+/// State machine of one link. Not safe for several threads.
+class link_lifecycle
+{
+public:
+    link_lifecycle();
+    ~link_lifecycle();
+    link_lifecycle(link_lifecycle const&) = delete;
+    link_lifecycle& operator=(link_lifecycle const&) = delete;
+
+    /// Applies an event; returns whether the state changed. Events that a state has no step for
+    /// are ignored.
+    bool apply(link_event event);
+    [[nodiscard]] link_state state() const { return this->current; }
+
+private:
+    class machine;
+    std::unique_ptr<machine> content;
+    link_state current = link_state::connecting;
+};
+
+} // namespace filbertroad::net::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/net/internal/tcp_link.cpp
@@ -0,0 +1,468 @@
+#include "filbertroad/net/internal/tcp_link.hpp"
+
+#include "filbertroad/net/internal/address.hpp"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+#include <vector>
+
+namespace filbertroad::net::internal
+{
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+/// Bytes given to the socket at once.
+constexpr std::size_t write_bytes = 256UL * 1024;
+
+/// Bytes read from the socket at once. The buffer belongs to the thread, so that idle links hold
+/// none.
+constexpr std::size_t read_bytes = 64UL * 1024;
+
+/// Reads in a row before other links of the thread get their turn.
+constexpr int max_reads_in_turn = 8;
+
+/// Buffers with more capacity are released when they are empty.
+constexpr std::size_t kept_capacity = 64UL * 1024;
+
+std::uint64_t next_number()
+{
+    static std::atomic<std::uint64_t> last = 0;
+    return ++last;
+}
+
+void release_if_large(std::string& buffer)
+{
+    if (buffer.capacity() > kept_capacity)
+    {
+        std::string().swap(buffer);
+    }
+}
+
+base::error<net_error> closed_error(std::string detail)
+{
+    return {net_error::closed, std::move(detail)};
+}
+
+} // namespace
+
+tcp_link::tcp_link(asio::io_context& io, link_side side, link_handlers handlers)
+    : id(next_number()), strand(asio::make_strand(io)), socket(this->strand), timer(this->strand),
+      handlers(std::move(handlers)), side(side), session(side, *this)
+{
+}
+
+std::shared_ptr<tcp_link> tcp_link::self()
+{
+    return std::static_pointer_cast<tcp_link>(this->shared_from_this());
+}
+
+bool tcp_link::is_closed() const
+{
+    return this->lifecycle.state() == link_state::closed;
+}
+
+void tcp_link::start_connect(std::string_view address)
+{
+    auto endpoint = parse_address(address);
+    if (!endpoint)
+    {
+        asio::post(this->strand, [link = this->self(), error = std::move(endpoint.error())]
+                   { link->fail(error); });
+        return;
+    }
+    asio::post(this->strand,
+               [link = this->self(), endpoint = endpoint.value()]
+               {
+                   if (link->is_closed())
+                   {
+                       return;
+                   }
+                   link->start_timer(open_timeout, "no link within 5 s");
+                   link->socket.async_connect(
+                       endpoint,
+                       [link, endpoint](error_code code)
+                       {
+                           if (!code)
+                           {
+                               link->begin_session();
+                           }
+                           else if (!link->is_closed())
+                           {
+                               link->fail({net_error::cannot_connect,
+                                           "cannot connect to " + endpoint.address().to_string() +
+                                               ":" + std::to_string(endpoint.port()) + ": " +
+                                               code.message()});
+                           }
+                       });
+               });
+}
+
+void tcp_link::start_accepted()
+{
+    asio::post(this->strand,
+               [link = this->self()]
+               {
+                   link->start_timer(open_timeout, "peer did not open a link within 5 s");
+                   link->begin_session();
+               });
+}
+
+void tcp_link::begin_session()
+{
+    if (this->is_closed())
+    {
+        return;
+    }
+    error_code code;
+    this->socket.set_option(tcp::no_delay(true), code);
+    if (!code)
+    {
+        this->socket.non_blocking(true, code);
+    }
+    if (code)
+    {
+        this->fail({net_error::cannot_connect, "cannot set up the socket: " + code.message()});
+        return;
+    }
+    this->connected = true;
+    this->lifecycle.apply(link_event::connected);
+    this->flush();
+    this->wait_readable();
+}
+
+void tcp_link::send(wire::link_message const& message)
+{
+    auto const size = message.ByteSizeLong();
+    std::unique_lock guard(this->lock);
+    if (this->refusing)
+    {
+        return;
+    }
+    base::error<net_error> error{net_error::too_large, {}};
+    if (size > wire::default_max_frame)
+    {
+        error.detail = "message of " + std::to_string(size) + " bytes is over the limit of " +
+                       std::to_string(wire::default_max_frame);
+    }
+    else if (this->pending.size() + this->unwritten + size > max_send_backlog)
+    {
+        error.detail = "peer reads too slowly: over " + std::to_string(max_send_backlog) +
+                       " bytes wait to be sent";
+    }
+    if (!error.detail.empty())
+    {
+        this->refusing = true;
+        guard.unlock();
+        asio::post(this->strand, [link = this->self(), error] { link->fail(error); });
+        return;
+    }
+    wire::append_frame(message, this->pending);
+    ++this->messages_sent;
+    this->schedule_flush();
+}
+
+void tcp_link::schedule_flush()
+{
+    if (!std::exchange(this->flush_scheduled, true))
+    {
+        asio::post(this->strand,
+                   [link = this->self()]
+                   {
+                       {
+                           std::scoped_lock const guard(link->lock);
+                           link->flush_scheduled = false;
+                       }
+                       link->flush();
+                   });
+    }
+}
+
+void tcp_link::close()
+{
+    {
+        std::scoped_lock const guard(this->lock);
+        this->refusing = true;
+    }
+    asio::post(this->strand,
+               [link = this->self()]
+               {
+                   link->begin_draining();
+                   link->flush();
+               });
+}
+
+void tcp_link::begin_draining()
+{
+    {
+        std::scoped_lock const guard(this->lock);
+        this->refusing = true;
+    }
+    if (this->lifecycle.apply(link_event::close_requested))
+    {
+        this->start_timer(close_timeout, "peer did not take the queued messages within 5 s");
+    }
+}
+
+link_counters tcp_link::counters() const
+{
+    std::scoped_lock const guard(this->lock);
+    return {.messages_sent = this->messages_sent,
+            .messages_received = this->messages_received,
+            .bytes_sent = this->bytes_sent,
+            .bytes_received = this->bytes_received};
+}
+
+void tcp_link::on_stream_opened()
+{
+    if (!this->lifecycle.apply(link_event::opened))
+    {
+        return;
+    }
+    this->timer.cancel();
+    if (this->handlers.on_open)
+    {
+        this->handlers.on_open(this->self());
+    }
+}
+
+std::optional<base::error<net_error>> tcp_link::on_stream_bytes(std::string_view bytes)
+{
+    auto const link = this->shared_from_this();
+    auto fault = this->reader.feed(bytes,
+                                   [&](wire::link_message& message)
+                                   {
+                                       ++this->messages_received;
+                                       if (this->handlers.on_message)
+                                       {
+                                           this->handlers.on_message(link, message);
+                                       }
+                                   });
+    if (!fault)
+    {
+        return std::nullopt;
+    }
+    return base::error<net_error>{fault->code == wire::frame_error::too_long ? net_error::too_large
+                                                                             : net_error::protocol,
+                                  std::move(fault->detail)};
+}
+
+void tcp_link::on_stream_ended()
+{
+    // A link that closes by itself keeps its own reason.
+    this->peer_ended = true;
+    this->begin_draining();
+}
+
+stream_user::portion tcp_link::take_outgoing(std::span<char> out)
+{
+    if (this->outgoing_taken == this->outgoing.size())
+    {
+        this->outgoing.clear();
+        this->outgoing_taken = 0;
+        std::scoped_lock const guard(this->lock);
+        release_if_large(this->outgoing);
+        std::swap(this->outgoing, this->pending);
+        this->unwritten += this->outgoing.size();
+    }
+    auto const size = std::min(out.size(), this->outgoing.size() - this->outgoing_taken);
+    std::copy_n(this->outgoing.data() + this->outgoing_taken, size, out.data());
+    this->outgoing_taken += size;
+    bool last = false;
+    if (this->lifecycle.state() == link_state::draining &&
+        this->outgoing_taken == this->outgoing.size())
+    {
+        std::scoped_lock const guard(this->lock);
+        last = this->pending.empty();
+    }
+    return {.size = size, .last = last};
+}
+
+void tcp_link::flush()
+{
+    auto const state = this->lifecycle.state();
+    if (this->writing || state == link_state::closed || !this->connected)
+    {
+        return;
+    }
+    if (!this->session.collect(this->write_buffer, write_bytes))
+    {
+        this->fail({net_error::protocol, "HTTP/2 session cannot continue"});
+        return;
+    }
+    if (this->write_buffer.empty() || this->output_shut)
+    {
+        // Replies of the framing layer after the end of the stream have no reader.
+        this->write_buffer.clear();
+        this->finish_if_drained();
+        return;
+    }
+    this->writing = true;
+    asio::async_write(this->socket, asio::buffer(this->write_buffer),
+                      [link = this->self()](error_code code, std::size_t size)
+                      {
+                          link->bytes_sent += size;
+                          link->write_done(code);
+                      });
+}
+
+void tcp_link::write_done(error_code code)
+{
+    this->writing = false;
+    this->write_buffer.clear();
+    if (this->is_closed())
+    {
+        return;
+    }
+    if (code)
+    {
+        this->fail(closed_error("cannot write: " + code.message()));
+        return;
+    }
+    {
+        std::scoped_lock const guard(this->lock);
+        this->unwritten = this->outgoing.size() - this->outgoing_taken;
+    }
+    this->flush();
+    if (!this->writing)
+    {
+        release_if_large(this->write_buffer);
+    }
+}
+
+void tcp_link::finish_if_drained()
+{
+    if (this->lifecycle.state() != link_state::draining || !this->session.has_ended_output())
+    {
+        return;
+    }
+    if (!std::exchange(this->output_shut, true))
+    {
+        error_code ignored;
+        this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    // Closing with unread input would reset the connection and could discard what the peer has not
+    // read yet, so the end of the peer's direction is awaited.
+    if (this->input_ended)
+    {
+        this->fail(closed_error("closed after both sides had sent everything"));
+    }
+}
+
+void tcp_link::wait_readable()
+{
+    this->socket.async_wait(tcp::socket::wait_read,
+                            [link = this->self()](error_code code)
+                            {
+                                if (!link->is_closed() && !code)
+                                {
+                                    link->read_available();
+                                }
+                            });
+}
+
+void tcp_link::read_available()
+{
+    thread_local std::vector<char> buffer(read_bytes);
+    for (int i = 0; i < max_reads_in_turn; ++i)
+    {
+        error_code code;
+        auto const size = this->socket.read_some(asio::buffer(buffer), code);
+        if (code == asio::error::would_block)
+        {
+            break;
+        }
+        if (code)
+        {
+            this->on_input_end(code);
+            return;
+        }
+        this->bytes_received += size;
+        if (auto fault = this->session.receive({buffer.data(), size}))
+        {
+            this->fail(std::move(*fault));
+            return;
+        }
+        if (size < buffer.size())
+        {
+            break;
+        }
+    }
+    this->flush();
+    if (!this->is_closed())
+    {
+        this->wait_readable();
+    }
+}
+
+void tcp_link::on_input_end(error_code code)
+{
+    if (code == asio::error::eof && this->peer_ended)
+    {
+        // The peer still reads; what is queued is sent first.
+        this->input_ended = true;
+        this->flush();
+        return;
+    }
+    this->fail(closed_error(code == asio::error::eof ? "peer ended the connection"
+                                                     : "cannot read: " + code.message()));
+}
+
+void tcp_link::start_timer(std::chrono::seconds limit, char const* detail)
+{
+    this->timer.expires_after(limit);
+    this->timer.async_wait(
+        [link = this->self(), detail](error_code code)
+        {
+            if (!code && !link->is_closed())
+            {
+                link->fail({net_error::timeout, detail});
+            }
+        });
+}
+
+void tcp_link::send_reason(std::string_view reason)
+{
+    this->session.end_with(reason);
+    std::string last;
+    this->session.collect(last, write_bytes);
+    error_code ignored;
+    this->socket.write_some(asio::buffer(last), ignored);
+}
+
+void tcp_link::fail(base::error<net_error> error)
+{
+    if (!this->lifecycle.apply(link_event::ended))
+    {
+        return;
+    }
+    {
+        std::scoped_lock const guard(this->lock);
+        this->refusing = true;
+        std::string().swap(this->pending);
+    }
+    std::string().swap(this->outgoing);
+    this->outgoing_taken = 0;
+    bool const can_tell = error.code == net_error::protocol || error.code == net_error::too_large;
+    if (can_tell && !this->writing && this->connected)
+    {
+        this->send_reason(error.detail);
+    }
+    this->timer.cancel();
+    error_code ignored;
+    this->socket.close(ignored);
+    // Handlers often hold the owner of the link; releasing them breaks the cycle.
+    auto const last = std::exchange(this->handlers, {});
+    if (last.on_closed)
+    {
+        last.on_closed(this->self(), error);
+    }
+}
+
+} // namespace filbertroad::net::internal
--- /dev/null
+++ b/filbertroad/net/internal/tcp_link.hpp
@@ -0,0 +1,112 @@
+#ifndef FILBERTROAD_NET_INTERNAL_TCP_LINK_HPP
+#define FILBERTROAD_NET_INTERNAL_TCP_LINK_HPP
+
+/// The link over TCP: moves bytes between a socket and the HTTP/2 session.
+///
+///     auto link = std::make_shared<internal::tcp_link>(io, link_side::connecting, handlers);
+///     link->start_connect("127.0.0.1:7101");
+
+#include "filbertroad/net/internal/http2_session.hpp"
+#include "filbertroad/net/internal/link_lifecycle.hpp"
+#include "filbertroad/net/link.hpp"
+#include "filbertroad/wire/framing.hpp"
+
+#include <atomic>
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <chrono>
+#include <mutex>
+
+namespace filbertroad::net::internal
+{
+
+/// Time for the TCP connection, and then for the peer to open its direction of the stream.
+inline constexpr std::chrono::seconds open_timeout{5};
+
+/// Time for a closing link to send what is queued and for the peer to end its direction.
+inline constexpr std::chrono::seconds close_timeout{5};
+
+class tcp_link final : public link, private stream_user
+{
+public:
+    using strand_type = boost::asio::strand<boost::asio::io_context::executor_type>;
+    using socket_type = boost::asio::basic_stream_socket<boost::asio::ip::tcp, strand_type>;
+
+    tcp_link(boost::asio::io_context& io, link_side side, link_handlers handlers);
+
+    /// Call one of these once.
+    void start_connect(std::string_view address);
+    void start_accepted();
+
+    /// Socket to accept into, before start_accepted().
+    [[nodiscard]] socket_type& transport() { return this->socket; }
+
+    [[nodiscard]] std::uint64_t number() const override { return this->id; }
+    void send(wire::link_message const& message) override;
+    void close() override;
+    [[nodiscard]] link_counters counters() const override;
+
+private:
+    using timer_type =
+        boost::asio::basic_waitable_timer<std::chrono::steady_clock,
+                                          boost::asio::wait_traits<std::chrono::steady_clock>,
+                                          strand_type>;
+
+    void on_stream_opened() override;
+    std::optional<base::error<net_error>> on_stream_bytes(std::string_view bytes) override;
+    void on_stream_ended() override;
+    portion take_outgoing(std::span<char> out) override;
+
+    std::shared_ptr<tcp_link> self();
+    [[nodiscard]] bool is_closed() const;
+    void begin_session();
+    void schedule_flush();
+    void begin_draining();
+    void wait_readable();
+    void read_available();
+    void on_input_end(boost::system::error_code code);
+    void flush();
+    void write_done(boost::system::error_code code);
+    void finish_if_drained();
+    void start_timer(std::chrono::seconds limit, char const* detail);
+    void fail(base::error<net_error> error);
+    void send_reason(std::string_view reason);
+
+    std::uint64_t const id;
+    strand_type strand;
+    socket_type socket;
+    timer_type timer;
+
+    // Used on the strand only.
+    link_lifecycle lifecycle;
+    link_handlers handlers;
+    link_side side;
+    http2_session session;
+    wire::frame_reader reader{wire::default_max_frame};
+    std::string outgoing;
+    std::size_t outgoing_taken = 0;
+    std::string write_buffer;
+    bool connected = false;
+    bool writing = false;
+    bool output_shut = false;
+    bool peer_ended = false;
+    bool input_ended = false;
+
+    // Shared with send() and counters().
+    mutable std::mutex lock;
+    std::string pending;
+    /// Bytes that have left `pending` but are not written yet.
+    std::size_t unwritten = 0;
+    bool flush_scheduled = false;
+    /// No more messages are taken.
+    bool refusing = false;
+    std::uint64_t messages_sent = 0;
+    std::atomic<std::uint64_t> messages_received = 0;
+    std::atomic<std::uint64_t> bytes_sent = 0;
+    std::atomic<std::uint64_t> bytes_received = 0;
+};
+
+} // namespace filbertroad::net::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/net/link.cpp
@@ -0,0 +1,119 @@
+#include "filbertroad/net/link.hpp"
+
+#include "filbertroad/net/internal/address.hpp"
+#include "filbertroad/net/internal/tcp_link.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <mutex>
+
+namespace filbertroad::net
+{
+namespace asio = boost::asio;
+
+std::shared_ptr<link> link::connect(asio::io_context& io, std::string_view address,
+                                    link_handlers handlers)
+{
+    auto result = std::make_shared<internal::tcp_link>(io, internal::link_side::connecting,
+                                                       std::move(handlers));
+    result->start_connect(address);
+    return result;
+}
+
+namespace
+{
+
+/// Pause after a failed accept, such as one for lack of file descriptors; without it the loop would
+/// use a whole core until descriptors are free.
+constexpr std::chrono::milliseconds accept_pause{50};
+
+class tcp_link_server final : public link_server
+{
+public:
+    tcp_link_server(asio::io_context& io, internal::acceptor_type acceptor, link_handlers handlers)
+        : state(std::make_shared<listening>(io, std::move(acceptor), std::move(handlers)))
+    {
+        this->bound_port = this->state->acceptor.local_endpoint().port();
+        listening::accept_next(this->state);
+    }
+
+    ~tcp_link_server() override { this->stop(); }
+    tcp_link_server(tcp_link_server const&) = delete;
+    tcp_link_server& operator=(tcp_link_server const&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const override { return this->bound_port; }
+
+    void stop() override { listening::stop(this->state); }
+
+private:
+    /// Kept by the pending accept, so that the server may be destroyed at any time.
+    struct listening
+    {
+        listening(asio::io_context& io, internal::acceptor_type acceptor, link_handlers handlers)
+            : io(io), acceptor(std::move(acceptor)), pause(io), handlers(std::move(handlers))
+        {
+        }
+
+        static void accept_next(std::shared_ptr<listening> const& self)
+        {
+            auto link = std::make_shared<internal::tcp_link>(
+                self->io, internal::link_side::accepting, self->handlers);
+            std::scoped_lock const guard(self->lock);
+            if (self->stopped)
+            {
+                return;
+            }
+            self->acceptor.async_accept(link->transport(),
+                                        [self, link](boost::system::error_code code)
+                                        { accepted(self, link, code); });
+        }
+
+        static void accepted(std::shared_ptr<listening> const& self,
+                             std::shared_ptr<internal::tcp_link> const& link,
+                             boost::system::error_code code)
+        {
+            if (!code)
+            {
+                link->start_accepted();
+                accept_next(self);
+            }
+            else if (code != asio::error::operation_aborted)
+            {
+                std::scoped_lock const guard(self->lock);
+                self->pause.expires_after(accept_pause);
+                self->pause.async_wait([self](boost::system::error_code) { accept_next(self); });
+            }
+        }
+
+        static void stop(std::shared_ptr<listening> const& self)
+        {
+            std::scoped_lock const guard(self->lock);
+            self->stopped = true;
+            boost::system::error_code ignored;
+            self->acceptor.close(ignored);
+            self->pause.cancel();
+        }
+
+        asio::io_context& io;
+        std::mutex lock;
+        internal::acceptor_type acceptor;
+        asio::steady_timer pause;
+        link_handlers handlers;
+        bool stopped = false;
+    };
+
+    std::shared_ptr<listening> state;
+    std::uint16_t bound_port = 0;
+};
+
+} // namespace
+
+base::result<std::unique_ptr<link_server>, base::error<net_error>>
+link_server::listen(asio::io_context& io, std::string_view address, link_handlers handlers)
+{
+    BOOST_OUTCOME_TRY(auto acceptor, internal::open_acceptor(io, address));
+    return std::unique_ptr<link_server>(
+        std::make_unique<tcp_link_server>(io, std::move(acceptor), std::move(handlers)));
+}
+
+} // namespace filbertroad::net
