Add the HTTP server and client

Cause: callers, operators, targets and the platform's services speak HTTP/1.1 with JSON.

The server bounds heads, bodies, connections and the time for a head, a body, an answer and an idle connection, and answers 400, 408, 413 and 431 in JSON before it closes; it lingers so that the answer is not lost to a reset. stop() answers what is in progress, keeps taking requests on kept connections for stop_grace (new field, 1 s) with Connection: close, then closes idle connections. The client checks a kept connection before it writes, never repeats a request, and derives may_have_arrived from the bytes that the socket took.

Conclusion: the HTTP interface can be used by the entry, agent and stand-ins.

--- a/filbertroad/net/http.hpp
+++ b/filbertroad/net/http.hpp
@@ -32,13 +32,13 @@
 
 struct http_request
 {
-    std::string method;
+    std::string method{};
     /// Path without the query.
-    std::string path;
+    std::string path{};
     /// Query without the question mark.
-    std::string query;
-    std::vector<http_header> headers;
-    std::string body;
+    std::string query{};
+    std::vector<http_header> headers{};
+    std::string body{};
 
     /// Value of a header, compared without case; empty if absent.
     [[nodiscard]] std::string_view header(std::string_view name) const;
@@ -49,9 +49,9 @@
 struct http_response
 {
     unsigned status = 200;
-    std::vector<http_header> headers;
+    std::vector<http_header> headers{};
     std::string content_type = "application/json";
-    std::string body;
+    std::string body{};
 
     [[nodiscard]] std::string_view header(std::string_view name) const;
 };
@@ -65,6 +65,9 @@
     std::chrono::milliseconds read_timeout{10'000};
     /// Time that a kept connection may stay idle.
     std::chrono::milliseconds idle_timeout{60'000};
+    /// Time after stop() in which kept connections still take requests. Their answers close them,
+    /// so that few connections are closed while a request is on the way.
+    std::chrono::milliseconds stop_grace{1'000};
 };
 
 /// Sends the answer; may be called from any thread, once. A responder that is dropped without a
@@ -102,7 +105,8 @@
 using http_result = base::result<http_response, http_failure>;
 
 /// Keeps up to `max_connections` connections to one server. Requests beyond that wait. A request is
-/// never sent twice. Safe for several threads; handlers are called on the io_context.
+/// never sent twice. Safe for several threads; handlers are called on the io_context. Requests that
+/// are open when the client is destroyed are abandoned, and their handlers are not called.
 class http_client
 {
 public:
--- /dev/null
+++ b/filbertroad/net/http_test.cpp
@@ -0,0 +1,368 @@
+#include "filbertroad/net/http.hpp"
+
+#include "filbertroad/net/internal/test_loop.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <map>
+#include <optional>
+#include <thread>
+
+namespace filbertroad::net
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using internal::run_until;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds long_time{20};
+
+struct http_test : testing::Test
+{
+    asio::io_context io;
+    http_limits limits;
+    std::vector<http_request> requests;
+    std::vector<http_responder> responders;
+    std::unique_ptr<http_server> server;
+
+    void listen(http_handler handler)
+    {
+        this->server = std::move(
+            http_server::listen(this->io, "127.0.0.1:0", this->limits, std::move(handler)).value());
+    }
+
+    /// Keeps requests for the test to answer.
+    void listen_and_hold()
+    {
+        this->listen(
+            [this](http_request request, http_responder respond)
+            {
+                this->requests.push_back(std::move(request));
+                this->responders.push_back(std::move(respond));
+            });
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->server->port());
+    }
+
+    http_result exchange(http_client& client, http_request request, milliseconds limit = long_time)
+    {
+        std::optional<http_result> result;
+        client.send(std::move(request), limit, [&](http_result answer) { result = answer; });
+        EXPECT_TRUE(run_until(this->io, [&] { return result.has_value(); }));
+        return *result;
+    }
+
+    tcp::socket raw_connection()
+    {
+        tcp::socket socket(this->io);
+        socket.connect({asio::ip::address_v4::loopback(), this->server->port()});
+        return socket;
+    }
+
+    /// Reads until the server ends the connection.
+    std::string read_all(tcp::socket& socket)
+    {
+        std::string text;
+        bool ended = false;
+        asio::async_read(socket, asio::dynamic_buffer(text),
+                         [&](boost::system::error_code, std::size_t) { ended = true; });
+        EXPECT_TRUE(run_until(this->io, [&] { return ended; }));
+        return text;
+    }
+
+    std::string send_raw(std::string_view bytes)
+    {
+        auto socket = this->raw_connection();
+        asio::write(socket, asio::buffer(bytes));
+        return this->read_all(socket);
+    }
+};
+
+bool has(std::string_view text, std::string_view part)
+{
+    return text.find(part) != std::string_view::npos;
+}
+
+TEST_F(http_test, request_and_answer_keep_their_parts)
+{
+    this->listen(
+        [](http_request const& request, http_responder const& respond)
+        {
+            respond({.status = 201,
+                     .headers = {{"X-Seen", request.method + " " + request.path + " " +
+                                                request.query_value("a b") + " " +
+                                                std::string(request.header("X-KEY"))}},
+                     .content_type = "text/plain",
+                     .body = request.body});
+        });
+    http_client client(this->io, this->address(), 2);
+    auto const answer = this->exchange(client, {.method = "PUT",
+                                                .path = "/v1/x",
+                                                .query = "c=1&a%20b=%2Fz+y",
+                                                .headers = {{"x-key", "k"}},
+                                                .body = std::string(3'000'000, 'b')});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer.value().status, 201U);
+    EXPECT_EQ(answer.value().header("x-seen"), "PUT /v1/x /z y k");
+    EXPECT_EQ(answer.value().content_type, "text/plain");
+    EXPECT_EQ(answer.value().body.size(), 3'000'000U);
+}
+
+// Guards against answers that go to another request when connections are shared and answers cross.
+TEST_F(http_test, requests_over_several_connections_get_their_own_answers)
+{
+    this->listen_and_hold();
+    http_client client(this->io, this->address(), 4);
+    constexpr int count = 40;
+    std::map<int, std::string> answers;
+    for (int i = 0; i < count; ++i)
+    {
+        client.send({.method = "GET", .path = "/" + std::to_string(i)}, long_time,
+                    [&, i](http_result result) { answers[i] = result.value().body; });
+    }
+    ASSERT_TRUE(run_until(this->io,
+                          [&]
+                          {
+                              if (this->requests.size() - answers.size() >= 4 ||
+                                  this->requests.size() == count)
+                              {
+                                  // The newest request is answered first.
+                                  for (auto i = this->requests.size(); i-- > 0;)
+                                  {
+                                      this->responders[i]({.body = this->requests[i].path});
+                                  }
+                              }
+                              return answers.size() == count;
+                          }));
+    for (auto const& [number, body] : answers)
+    {
+        EXPECT_EQ(body, "/" + std::to_string(number));
+    }
+    EXPECT_EQ(this->requests.size(), static_cast<std::size_t>(count));
+}
+
+// Guards against answers that leave in another order than pipelined requests.
+TEST_F(http_test, pipelined_requests_are_answered_in_order)
+{
+    this->listen([](http_request const& request, http_responder const& respond)
+                 { respond({.body = "<" + request.path + ">"}); });
+    auto const text = this->send_raw("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\n"
+                                     "Host: a\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(has(text, "</1>") && has(text, "</2>"));
+    EXPECT_LT(text.find("</1>"), text.find("</2>"));
+}
+
+TEST_F(http_test, slow_heads_and_slow_bodies_are_answered_408)
+{
+    this->limits.read_timeout = milliseconds(40);
+    this->listen_and_hold();
+    for (std::string_view const part :
+         {"GET / HT", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab"})
+    {
+        auto const text = this->send_raw(part);
+        EXPECT_TRUE(has(text, "HTTP/1.1 408") && has(text, "{\"error\":{\"code\":\"timeout\""))
+            << text;
+    }
+    EXPECT_TRUE(this->requests.empty());
+}
+
+TEST_F(http_test, oversize_and_malformed_requests_get_their_errors_and_do_not_reach_the_handler)
+{
+    this->limits.max_header_bytes = 1'000;
+    this->limits.max_body_bytes = 100;
+    this->listen_and_hold();
+    EXPECT_TRUE(has(this->send_raw("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n"),
+                    "\"code\":\"body_too_large\""));
+    auto const chunk = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n80\r\n" +
+                       std::string(0x80, 'c') + "\r\n0\r\n\r\n";
+    EXPECT_TRUE(has(this->send_raw(chunk), "HTTP/1.1 413"));
+    EXPECT_TRUE(has(this->send_raw("GET / HTTP/1.1\r\nA: " + std::string(2'000, 'a') + "\r\n\r\n"),
+                    "HTTP/1.1 431"));
+    EXPECT_TRUE(has(this->send_raw("no request\r\n\r\n"), "HTTP/1.1 400"));
+    EXPECT_TRUE(has(this->send_raw("GET http://a/ HTTP/1.1\r\n\r\n"), "HTTP/1.1 400"));
+    EXPECT_TRUE(this->requests.empty());
+}
+
+// Guards against a caller that waits without end for a request that the handler has forgotten.
+TEST_F(http_test, dropped_responder_answers_500)
+{
+    this->listen([](http_request const&, http_responder const&) {});
+    http_client client(this->io, this->address(), 1);
+    EXPECT_EQ(this->exchange(client, {.method = "GET", .path = "/"}).value().status, 500U);
+}
+
+// Guards against a planned stop that cuts a request in progress.
+TEST_F(http_test, stop_answers_what_is_in_progress_and_then_is_idle)
+{
+    this->limits.stop_grace = milliseconds(0);
+    this->listen_and_hold();
+    auto const idle_connection = this->raw_connection();
+    http_client client(this->io, this->address(), 1);
+    std::optional<http_result> result;
+    client.send({.method = "GET", .path = "/"}, long_time,
+                [&](http_result answer) { result = answer; });
+    ASSERT_TRUE(run_until(this->io, [&] { return this->requests.size() == 1; }));
+    this->server->stop();
+    EXPECT_FALSE(this->server->is_idle());
+    this->responders[0]({.body = "late"});
+    ASSERT_TRUE(run_until(this->io, [&] { return result && this->server->is_idle(); }));
+    EXPECT_EQ(result->value().body, "late");
+    EXPECT_EQ(result->value().header("connection"), "close");
+    auto const refused = this->exchange(client, {.method = "GET", .path = "/"});
+    ASSERT_FALSE(refused);
+    EXPECT_EQ(refused.error().error.code, net_error::cannot_connect);
+    EXPECT_FALSE(refused.error().may_have_arrived);
+}
+
+TEST_F(http_test, connections_over_the_limit_are_refused)
+{
+    this->limits.max_connections = 1;
+    this->listen_and_hold();
+    auto const first = this->raw_connection();
+    auto second = this->raw_connection();
+    EXPECT_TRUE(has(this->read_all(second), "HTTP/1.1 503"));
+}
+
+/// A server that reads a head, sends `answer` and closes, one connection after the other.
+class closing_server
+{
+public:
+    closing_server(asio::io_context& io, std::string answer)
+        : acceptor(io, {asio::ip::address_v4::loopback(), 0}), socket(io), answer(std::move(answer))
+    {
+        this->accept();
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+    }
+
+    int heads = 0;
+
+private:
+    void accept()
+    {
+        this->acceptor.async_accept(this->socket,
+                                    [this](boost::system::error_code code)
+                                    {
+                                        if (!code)
+                                        {
+                                            this->read();
+                                        }
+                                    });
+    }
+
+    void read()
+    {
+        this->head.clear();
+        asio::async_read_until(this->socket, asio::dynamic_buffer(this->head), "\r\n\r\n",
+                               [this](boost::system::error_code code, std::size_t)
+                               {
+                                   if (code)
+                                   {
+                                       return;
+                                   }
+                                   ++this->heads;
+                                   asio::write(this->socket, asio::buffer(this->answer));
+                                   this->socket.close();
+                                   this->accept();
+                               });
+    }
+
+    tcp::acceptor acceptor;
+    tcp::socket socket;
+    std::string answer;
+    std::string head;
+};
+
+// Guards against a request lost on a kept connection that its server has closed in the meantime.
+TEST_F(http_test, kept_connection_closed_by_the_server_is_not_used)
+{
+    // The answer does not announce that the connection ends.
+    closing_server server(this->io, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    http_client client(this->io, server.address(), 1);
+    for (int i = 1; i <= 5; ++i)
+    {
+        EXPECT_TRUE(this->exchange(client, {.method = "POST", .path = "/"}));
+        EXPECT_EQ(server.heads, i);
+    }
+}
+
+// Guards against a request that is repeated although the first one may have taken effect.
+TEST_F(http_test, connection_that_ends_before_the_answer_fails_once_and_says_may_have_arrived)
+{
+    for (std::string const text : {"", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut"})
+    {
+        closing_server server(this->io, text);
+        http_client client(this->io, server.address(), 3);
+        auto const result = this->exchange(client, {.method = "POST", .path = "/"});
+        ASSERT_FALSE(result);
+        EXPECT_EQ(result.error().error.code, net_error::closed);
+        EXPECT_TRUE(result.error().may_have_arrived);
+        EXPECT_EQ(server.heads, 1);
+    }
+    closing_server garbage(this->io, "what?\r\n\r\n");
+    http_client client(this->io, garbage.address(), 3);
+    EXPECT_EQ(this->exchange(client, {.method = "GET", .path = "/"}).error().error.code,
+              net_error::protocol);
+}
+
+TEST_F(http_test, time_limit_says_whether_the_request_left)
+{
+    this->listen_and_hold();
+    http_client client(this->io, this->address(), 1);
+    std::optional<http_result> first;
+    client.send({.method = "GET", .path = "/1"}, long_time, [&](http_result r) { first = r; });
+    ASSERT_TRUE(run_until(this->io, [&] { return !this->requests.empty(); }));
+    auto const waited = this->exchange(client, {.method = "GET", .path = "/2"}, milliseconds(20));
+    ASSERT_FALSE(waited);
+    EXPECT_EQ(waited.error().error.code, net_error::timeout);
+    EXPECT_FALSE(waited.error().may_have_arrived);
+    this->responders[0]({});
+    ASSERT_TRUE(run_until(this->io, [&] { return first.has_value(); }));
+    auto const sent = this->exchange(client, {.method = "GET", .path = "/3"}, milliseconds(20));
+    ASSERT_FALSE(sent);
+    EXPECT_EQ(sent.error().error.code, net_error::timeout);
+    EXPECT_TRUE(sent.error().may_have_arrived);
+}
+
+// Guards against header injection through values that come from callers.
+TEST_F(http_test, request_with_control_characters_is_not_sent)
+{
+    this->listen_and_hold();
+    http_client client(this->io, this->address(), 1);
+    for (auto const& request :
+         {http_request{.method = "GET", .path = "/a b"},
+          http_request{.method = "GET", .path = "/", .headers = {{"a", "b\r\nc: d"}}}})
+    {
+        auto const result = this->exchange(client, request);
+        ASSERT_FALSE(result);
+        EXPECT_FALSE(result.error().may_have_arrived);
+    }
+    EXPECT_TRUE(this->requests.empty());
+}
+
+TEST_F(http_test, send_and_wait_returns_the_answer)
+{
+    this->listen([](http_request const& request, http_responder const& respond)
+                 { respond({.body = request.body}); });
+    std::jthread const thread([this] { this->io.run_for(long_time); });
+    auto const result =
+        send_and_wait(this->address(), {.method = "POST", .path = "/", .body = "x"}, long_time);
+    this->io.stop();
+    EXPECT_EQ(result.value().body, "x");
+}
+
+} // namespace
+} // namespace filbertroad::net
--- /dev/null
+++ b/filbertroad/net/internal/http_connection.hpp
@@ -0,0 +1,62 @@
+#ifndef FILBERTROAD_NET_INTERNAL_HTTP_CONNECTION_HPP
+#define FILBERTROAD_NET_INTERNAL_HTTP_CONNECTION_HPP
+
+/// One connection of the HTTP server.
+///
+///     auto connection = internal::make_http_connection(io, hub);
+///     acceptor.async_accept(connection->transport(), ...);
+///     connection->start();
+
+#include "filbertroad/net/http.hpp"
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <memory>
+#include <mutex>
+#include <set>
+
+namespace filbertroad::net::internal
+{
+
+class http_connection;
+
+/// What the connections of one server share.
+struct http_hub
+{
+    http_limits limits;
+    http_handler handler;
+    std::mutex lock;
+    std::set<std::weak_ptr<http_connection>, std::owner_less<>> connections;
+    std::atomic<std::size_t> connection_count = 0;
+    /// Answers close their connection.
+    std::atomic<bool> stopping = false;
+    /// Connections without a request in progress are closed too.
+    std::atomic<bool> grace_over = false;
+};
+
+class http_connection
+{
+public:
+    using strand_type = boost::asio::strand<boost::asio::io_context::executor_type>;
+    using socket_type = boost::asio::basic_stream_socket<boost::asio::ip::tcp, strand_type>;
+
+    virtual ~http_connection() = default;
+    /// Socket to accept into, before start().
+    [[nodiscard]] virtual socket_type& transport() = 0;
+    virtual void start() = 0;
+    /// Tells the client that the server has too many connections, and closes.
+    virtual void refuse() = 0;
+    /// Closes the connection unless a request is in progress. Thread safe.
+    virtual void close_if_idle() = 0;
+};
+
+[[nodiscard]] std::shared_ptr<http_connection> make_http_connection(boost::asio::io_context& io,
+                                                                    std::shared_ptr<http_hub> hub);
+
+/// Whether `text` may stand in a header or request line: no control characters.
+[[nodiscard]] bool is_clean_text(std::string_view text);
+
+} // namespace filbertroad::net::internal
+
+#endif
