Add the scheduler of a service shard

Cause: owners need to decide which queued task goes to which target next. Change: job order with ageing, shares and quotas of teams, target choice by learnt speed, target health as a state machine, admission bounds, expiry and ramp-up behind scheduler.hpp.

--- /dev/null
+++ b/filbertroad/scheduling/internal/admission.cpp
@@ -0,0 +1,74 @@
+#include "filbertroad/scheduling/internal/admission.hpp"
+
+#include <algorithm>
+
+namespace filbertroad::scheduling::internal
+{
+namespace
+{
+
+using milliseconds_f = std::chrono::duration<double, std::milli>;
+
+constexpr milliseconds_f min_retry{100};
+constexpr milliseconds_f max_retry{30'000};
+
+/// Time in which `tasks` are started, with up to half of it added as jitter so that refused
+/// callers do not come back together.
+std::chrono::milliseconds retry_after(admission_request const& request, double tasks)
+{
+    auto const wait = request.tasks_per_second > 0
+                          ? std::clamp(milliseconds_f(tasks / request.tasks_per_second * 1000),
+                                       min_retry, max_retry)
+                          : milliseconds_f(1000);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(wait * (1 + request.jitter / 2));
+}
+
+} // namespace
+
+std::optional<admission_error> check_admission(admission_request const& request,
+                                               admission_limits const& limits)
+{
+    auto const tasks = static_cast<double>(request.tasks);
+    if (!request.team_known)
+    {
+        return admission_error{admission_code::team_over_quota,
+                               "team " + request.team + " has no quota",
+                               retry_after(request, tasks)};
+    }
+    if (request.tasks >
+            limits.max_queued_tasks - std::min(limits.max_queued_tasks, request.queued_tasks) ||
+        request.bytes >
+            limits.max_queued_bytes - std::min(limits.max_queued_bytes, request.queued_bytes))
+    {
+        return admission_error{admission_code::overloaded,
+                               "queue holds " + std::to_string(request.queued_tasks) + " of " +
+                                   std::to_string(limits.max_queued_tasks) + " tasks and " +
+                                   std::to_string(request.queued_bytes) + " of " +
+                                   std::to_string(limits.max_queued_bytes) + " bytes",
+                               retry_after(request, tasks)};
+    }
+    if (request.tasks >
+        request.team_max_queued - std::min(request.team_max_queued, request.team_queued))
+    {
+        return admission_error{admission_code::team_over_quota,
+                               "team " + request.team + " has " +
+                                   std::to_string(request.team_queued) + " of " +
+                                   std::to_string(request.team_max_queued) + " tasks queued",
+                               retry_after(request, tasks)};
+    }
+    if (request.deadline.count() > 0 && request.tasks_per_second > 0)
+    {
+        milliseconds_f const wait(request.tasks_ahead / request.tasks_per_second * 1000);
+        if (wait > request.deadline)
+        {
+            return admission_error{
+                admission_code::deadline_unreachable,
+                "estimated wait " + std::to_string(static_cast<long>(wait.count())) +
+                    " ms, deadline " + std::to_string(request.deadline.count()) + " ms",
+                retry_after(request, request.tasks_ahead)};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace filbertroad::scheduling::internal
--- /dev/null
+++ b/filbertroad/scheduling/internal/job_store.hpp
@@ -0,0 +1,166 @@
+#ifndef FILBERTROAD_SCHEDULING_INTERNAL_JOB_STORE_HPP
+#define FILBERTROAD_SCHEDULING_INTERNAL_JOB_STORE_HPP
+
+/// Queued jobs in the order in which they start. Jobs of one team with the same placement rule form
+/// a lane; a lane is ordered by arrival plus a fixed time for each remaining task. All jobs age at
+/// the same rate, so this order needs no update as time passes, and no job waits forever.
+///
+///     job_store store;
+///     auto& entry = store.add(job, lane, now);
+///     auto index = store.take(entry); // the next task of the job
+///
+/// Not safe for several threads.
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/scheduling/scheduler.hpp"
+
+#include <boost/intrusive/set.hpp>
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace filbertroad::scheduling::internal
+{
+
+namespace intrusive = boost::intrusive;
+
+inline constexpr std::uint32_t no_index = std::numeric_limits<std::uint32_t>::max();
+/// A job with one more task starts as if it had arrived this much later.
+inline constexpr std::chrono::milliseconds ageing_per_task{10};
+
+struct lane;
+
+struct order_tag;
+struct arrival_tag;
+struct deadline_tag;
+template <class Tag>
+using set_hook = intrusive::set_base_hook<intrusive::tag<Tag>, intrusive::optimize_size<true>,
+                                          intrusive::link_mode<intrusive::safe_link>>;
+
+/// A job with queued or running tasks.
+struct job_record : set_hook<order_tag>, set_hook<arrival_tag>, set_hook<deadline_tag>
+{
+    std::uint64_t job = 0;
+    lane* in_lane = nullptr;
+    /// Queued tasks, the next one last.
+    std::vector<std::uint32_t> tasks;
+    base::steady_time arrival{};
+    /// Latest start; the maximum means none.
+    base::steady_time start_before = base::steady_time::max();
+    base::steady_time order_key{};
+    std::size_t bytes = 0;
+    std::uint32_t route = 0;
+    std::uint32_t running = 0;
+    /// First target on which a task of the job failed, and whether others followed.
+    std::uint32_t failed_on = no_index;
+    bool failed_on_several = false;
+    /// The same for successes.
+    std::uint32_t succeeded_on = no_index;
+    bool succeeded_on_several = false;
+};
+
+struct by_order
+{
+    bool operator()(job_record const& a, job_record const& b) const
+    {
+        return a.order_key != b.order_key ? a.order_key < b.order_key : a.job < b.job;
+    }
+};
+struct by_arrival
+{
+    bool operator()(job_record const& a, job_record const& b) const
+    {
+        return a.arrival != b.arrival ? a.arrival < b.arrival : a.job < b.job;
+    }
+};
+struct by_deadline
+{
+    bool operator()(job_record const& a, job_record const& b) const
+    {
+        return a.start_before != b.start_before ? a.start_before < b.start_before : a.job < b.job;
+    }
+};
+
+template <class Tag, class Compare>
+using job_set =
+    intrusive::set<job_record, intrusive::base_hook<set_hook<Tag>>, intrusive::compare<Compare>>;
+
+struct team_record
+{
+    std::string name;
+    std::uint32_t weight = 1;
+    std::uint32_t max_running = 0;
+    std::uint32_t max_queued = 0;
+    bool configured = false;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    /// Number of the last assignment; the team served longest ago goes first among equals.
+    std::uint64_t last_served = 0;
+};
+
+/// The queued jobs of one team with one placement rule.
+struct lane
+{
+    team_record* team = nullptr;
+    std::uint32_t placement = 0;
+    job_set<order_tag, by_order> jobs;
+    std::uint32_t queued = 0;
+    /// Position in the list of lanes with queued jobs, or no_index.
+    std::uint32_t active_position = no_index;
+};
+
+class job_store
+{
+public:
+    /// The lane of a team and a placement, created when it is new. Its address is stable.
+    [[nodiscard]] lane& lane_of(team_record& team, std::uint32_t placement);
+    /// The record of a job, created when it is new.
+    [[nodiscard]] job_record& record(std::uint64_t job);
+    [[nodiscard]] job_record* find(std::uint64_t job);
+    /// Puts the tasks of a job without queued tasks into its lane. Precondition: at least one task.
+    void enqueue(job_record& job, std::span<std::uint32_t const> tasks);
+    /// Puts one task back in front of its job.
+    void put_back(job_record& job, std::uint32_t index);
+    /// Takes the next task of a job; the job leaves its lane with the last one.
+    std::uint32_t take(job_record& job);
+    /// Takes all queued tasks of a job, in order.
+    std::vector<std::uint32_t> take_all(job_record& job);
+    /// Forgets a job without queued and running tasks; otherwise does nothing.
+    void forget_if_done(job_record& job);
+
+    [[nodiscard]] std::vector<lane*> const& active_lanes() const { return this->active; }
+    [[nodiscard]] std::uint32_t queued_tasks() const { return this->queued; }
+    [[nodiscard]] std::size_t queued_bytes() const { return this->bytes; }
+    [[nodiscard]] std::size_t known_jobs() const { return this->jobs.size(); }
+    /// The job that waits longest, or null.
+    [[nodiscard]] job_record const* oldest() const;
+    /// A queued job whose deadline has passed, or null.
+    [[nodiscard]] job_record* overdue(base::steady_time now);
+
+private:
+    void link(job_record& job);
+    void unlink(job_record& job);
+
+    std::vector<std::unique_ptr<lane>> lanes;
+    std::vector<lane*> active;
+    job_set<arrival_tag, by_arrival> arrivals;
+    job_set<deadline_tag, by_deadline> deadlines;
+    boost::unordered_flat_map<std::uint64_t, std::unique_ptr<job_record>> jobs;
+    std::uint32_t queued = 0;
+    std::size_t bytes = 0;
+
+public:
+    job_store() = default;
+    job_store(job_store const&) = delete;
+    job_store& operator=(job_store const&) = delete;
+    ~job_store();
+};
+
+} // namespace filbertroad::scheduling::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/scheduling/internal/scheduler_state.hpp
@@ -0,0 +1,79 @@
+#ifndef FILBERTROAD_SCHEDULING_INTERNAL_SCHEDULER_STATE_HPP
+#define FILBERTROAD_SCHEDULING_INTERNAL_SCHEDULER_STATE_HPP
+
+/// State of a scheduler, shared by the sources that implement it. Not safe for several threads.
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/scheduling/internal/admission.hpp"
+#include "filbertroad/scheduling/internal/job_store.hpp"
+#include "filbertroad/scheduling/internal/target_pool.hpp"
+#include "filbertroad/scheduling/scheduler.hpp"
+
+#include <algorithm>
+#include <boost/container_hash/hash.hpp>
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace filbertroad::scheduling
+{
+
+/// A task that was assigned and has not ended.
+struct running_task
+{
+    std::uint32_t target = 0;
+    internal::team_record* team = nullptr;
+    /// Null for a task that was adopted without its job.
+    internal::job_record* job = nullptr;
+};
+
+struct task_hash
+{
+    std::size_t operator()(task_id const& task) const
+    {
+        std::size_t seed = 0;
+        boost::hash_combine(seed, task.job);
+        boost::hash_combine(seed, task.index);
+        return seed;
+    }
+};
+
+struct scheduler::state
+{
+    state(std::uint64_t seed, internal::admission_limits const& limits,
+          std::chrono::milliseconds unplaceable_timeout, std::chrono::milliseconds ramp_up)
+        : targets(seed, ramp_up), limits(limits), unplaceable_timeout(unplaceable_timeout)
+    {
+    }
+
+    /// Record of a team, created when it is new; its address is stable.
+    internal::team_record& team(std::string_view name);
+    /// Takes a running task off its target, team and job; nothing when it is unknown.
+    std::optional<running_task> stop(task_id const& task);
+    /// The lane that starts the next task, among lanes whose team is within its quota and whose
+    /// placement is not blocked; null when there is none.
+    [[nodiscard]] internal::lane* next_lane() const;
+
+    void advance(base::steady_time now) { this->last_time = std::max(this->last_time, now); }
+
+    internal::target_pool targets;
+    internal::job_store jobs;
+    std::vector<std::unique_ptr<internal::team_record>> teams;
+    /// Before the first set_teams every team may run and queue without a bound of its own.
+    bool teams_configured = false;
+    boost::unordered_flat_map<task_id, running_task, task_hash> running;
+    internal::admission_limits limits;
+    std::chrono::milliseconds unplaceable_timeout;
+    /// Time of the latest call; ages are reported as of it.
+    base::steady_time last_time{};
+    std::uint64_t assignments = 0;
+    /// Placements that found no target in this dispatch.
+    std::vector<char> blocked;
+};
+
+} // namespace filbertroad::scheduling
+
+#endif
--- /dev/null
+++ b/filbertroad/scheduling/internal/target_health.cpp
@@ -0,0 +1,166 @@
+#include "filbertroad/scheduling/internal/target_health.hpp"
+
+#include <algorithm>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace filbertroad::scheduling::internal
+{
+namespace
+{
+
+namespace front = boost::msm::front;
+
+constexpr std::chrono::milliseconds first_backoff{500};
+constexpr std::chrono::milliseconds max_backoff{30'000};
+/// Successes in a row that end the probing.
+constexpr int probes_needed = 3;
+
+struct failed_too_often
+{
+};
+struct backoff_passed
+{
+};
+struct succeeded
+{
+};
+
+struct front_end : front::state_machine_def<front_end>
+{
+    struct in_service : front::state<>
+    {
+    };
+    struct ejected : front::state<>
+    {
+    };
+    struct probing : front::state<>
+    {
+    };
+    using initial_state = in_service;
+
+    struct lengthen_backoff
+    {
+        template <class Event, class Machine, class Source, class Target>
+        void operator()(Event const&, Machine& machine, Source&, Target&)
+        {
+            machine.backoff = std::min(machine.backoff * 2, max_backoff);
+            machine.probes = 0;
+        }
+    };
+    struct reset_backoff
+    {
+        template <class Event, class Machine, class Source, class Target>
+        void operator()(Event const&, Machine& machine, Source&, Target&)
+        {
+            machine.backoff = first_backoff;
+            machine.probes = 0;
+        }
+    };
+    struct count_probe
+    {
+        template <class Event, class Machine, class Source, class Target>
+        void operator()(Event const&, Machine& machine, Source&, Target&)
+        {
+            ++machine.probes;
+        }
+    };
+    struct enough_probes
+    {
+        template <class Event, class Machine, class Source, class Target>
+        bool operator()(Event const&, Machine& machine, Source&, Target&)
+        {
+            return machine.probes + 1 >= probes_needed;
+        }
+    };
+
+    struct transition_table
+        : boost::mpl::vector<
+              front::Row<in_service, failed_too_often, ejected, reset_backoff, front::none>,
+              front::Row<ejected, backoff_passed, probing, front::none, front::none>,
+              front::Row<probing, failed_too_often, ejected, lengthen_backoff, front::none>,
+              front::Row<probing, succeeded, front::none, count_probe, front::none>,
+              front::Row<probing, succeeded, in_service, reset_backoff, enough_probes>>
+    {
+    };
+
+    /// Late results of a target in another state change nothing.
+    template <class Machine, class Event>
+    void no_transition(Event const&, Machine&, int)
+    {
+    }
+
+    std::chrono::milliseconds backoff = first_backoff;
+    int probes = 0;
+};
+
+} // namespace
+
+struct target_health::machine
+{
+    boost::msm::back::state_machine<front_end> back_end;
+
+    /// States are numbered by their first appearance in the transition table.
+    [[nodiscard]] health_state state() const
+    {
+        return static_cast<health_state>(this->back_end.current_state()[0]);
+    }
+};
+
+std::string_view to_string(health_state state)
+{
+    switch (state)
+    {
+    case health_state::in_service:
+        return "in_service";
+    case health_state::ejected:
+        return "ejected";
+    case health_state::probing:
+        return "probing";
+    }
+    return "unknown";
+}
+
+target_health::target_health() : content(std::make_unique<machine>())
+{
+    this->content->back_end.start();
+}
+target_health::target_health(target_health&&) noexcept = default;
+target_health& target_health::operator=(target_health&&) noexcept = default;
+target_health::~target_health() = default;
+
+void target_health::eject(base::steady_time now, double jitter)
+{
+    if (this->current == health_state::ejected)
+    {
+        return;
+    }
+    this->content->back_end.process_event(failed_too_often{});
+    this->current = this->content->state();
+    auto const backoff =
+        std::chrono::duration<double, std::milli>(this->content->back_end.backoff) * (1 + jitter);
+    this->until = now + std::chrono::duration_cast<base::steady_time::duration>(backoff);
+}
+
+void target_health::advance(base::steady_time now)
+{
+    if (this->current == health_state::ejected && now >= this->until)
+    {
+        this->content->back_end.process_event(backoff_passed{});
+        this->current = this->content->state();
+    }
+}
+
+bool target_health::task_succeeded()
+{
+    if (this->current != health_state::probing)
+    {
+        return false;
+    }
+    this->content->back_end.process_event(succeeded{});
+    this->current = this->content->state();
+    return this->current == health_state::in_service;
+}
+
+} // namespace filbertroad::scheduling::internal
--- /dev/null
+++ b/filbertroad/scheduling/internal/target_pool.cpp
@@ -0,0 +1,479 @@
+#include "filbertroad/scheduling/internal/target_pool.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace filbertroad::scheduling::internal
+{
+namespace
+{
+
+/// Run times of one route differ by a factor of 20, so that fewer samples than this give an
+/// unsteady order of targets.
+constexpr double max_speed_samples = 64;
+/// Weight of the assumption that a target is as fast as the others, in samples.
+constexpr double prior_samples = 2;
+constexpr double max_route_samples = 512;
+constexpr double run_time_weight = 1.0 / 256;
+constexpr double failure_weight = 1.0 / 8;
+/// A target is ejected only after this many results, above this rate, and when it fails this many
+/// times more often than the others.
+constexpr std::uint32_t min_results = 5;
+constexpr double min_failure_rate = 0.4;
+constexpr double min_failure_ratio = 3;
+/// From this many failures in a row on, starts are held back: a target that fails at once would
+/// otherwise take most of the queue before its failure rate is known.
+constexpr std::uint32_t failures_before_hold = 3;
+constexpr std::chrono::milliseconds first_hold{50};
+constexpr std::uint32_t max_hold_doublings = 5;
+/// Time after which a limit that was lowered by a refusal rises by one slot.
+constexpr std::chrono::milliseconds raise_interval{500};
+/// Targets whose slowness differs by less count as equally fast.
+constexpr double similar_speed = 1.25;
+
+bool meets(target_info const& target, placement_rule const& rule)
+{
+    auto const has = [](auto const& list, auto const& value)
+    { return std::find(list.begin(), list.end(), value) != list.end(); };
+    return (rule.zones.empty() || has(rule.zones, target.zone)) &&
+           std::all_of(rule.labels.begin(), rule.labels.end(),
+                       [&](auto const& label) { return has(target.labels, label); });
+}
+
+} // namespace
+
+target_pool::target_pool(std::uint64_t seed, std::chrono::milliseconds ramp_up)
+    : generator(seed), ramp_up(ramp_up)
+{
+}
+
+void target_pool::update(target_info const& info, base::steady_time now)
+{
+    auto& target = this->targets[this->find_or_add_closed(info.name)];
+    bool const is_new = !target.known || target.removed;
+    bool const grew = info.slots > target.info.slots;
+    target.info = info;
+    target.known = true;
+    target.removed = false;
+    target.usable = is_new || grew ? info.slots : std::min(target.usable, info.slots);
+    if (is_new)
+    {
+        target.open = true;
+        this->reset(target, now);
+    }
+    this->rebuild(now);
+}
+
+void target_pool::set_open(std::string_view name, bool open, base::steady_time now)
+{
+    auto const found = this->find(name);
+    if (!found || this->targets[*found].open == open)
+    {
+        return;
+    }
+    auto& target = this->targets[*found];
+    target.open = open;
+    if (open)
+    {
+        this->reset(target, now);
+    }
+    this->last_change = now;
+}
+
+void target_pool::remove(std::string_view name)
+{
+    if (auto const found = this->find(name))
+    {
+        this->targets[*found].removed = true;
+        this->targets[*found].limit = 0;
+        this->rebuild(this->last_change);
+    }
+}
+
+std::optional<std::uint32_t> target_pool::find(std::string_view name) const
+{
+    auto const found = std::find_if(this->targets.begin(), this->targets.end(),
+                                    [&](auto const& target) { return target.info.name == name; });
+    if (found == this->targets.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(found - this->targets.begin());
+}
+
+std::uint32_t target_pool::find_or_add_closed(std::string_view name)
+{
+    if (auto const found = this->find(name))
+    {
+        return *found;
+    }
+    auto const unused =
+        std::find_if(this->targets.begin(), this->targets.end(),
+                     [](auto const& target) { return target.removed && target.running == 0; });
+    auto const number = static_cast<std::uint32_t>(unused - this->targets.begin());
+    if (unused == this->targets.end())
+    {
+        this->targets.emplace_back();
+    }
+    this->targets[number] = target_record{};
+    this->targets[number].info.name = name;
+    return number;
+}
+
+std::uint32_t target_pool::placement(placement_rule const& rule)
+{
+    auto const found = std::find_if(this->placements.begin(), this->placements.end(),
+                                    [&](auto const& known) { return known.rule == rule; });
+    if (found != this->placements.end())
+    {
+        return static_cast<std::uint32_t>(found - this->placements.begin());
+    }
+    this->placements.push_back({rule, {}, this->last_change});
+    this->rebuild(this->last_change);
+    return static_cast<std::uint32_t>(this->placements.size() - 1);
+}
+
+bool target_pool::is_placeable(std::uint32_t placement) const
+{
+    return !this->placements[placement].targets.empty();
+}
+
+base::steady_time target_pool::unplaceable_since(std::uint32_t placement) const
+{
+    return this->placements[placement].unplaceable_since;
+}
+
+placement_rule const& target_pool::rule(std::uint32_t placement) const
+{
+    return this->placements[placement].rule;
+}
+
+std::uint32_t target_pool::route(std::string_view name)
+{
+    auto const found = std::find_if(this->routes.begin(), this->routes.end(),
+                                    [&](auto const& route) { return route.name == name; });
+    if (found != this->routes.end())
+    {
+        return static_cast<std::uint32_t>(found - this->routes.begin());
+    }
+    this->routes.push_back({std::string(name)});
+    return static_cast<std::uint32_t>(this->routes.size() - 1);
+}
+
+void target_pool::refresh(base::steady_time now)
+{
+    this->free = 0;
+    for (auto& target : this->targets)
+    {
+        target.limit = this->limit_of(target, now);
+        this->free += target.has_room() ? target.limit - target.running : 0;
+    }
+}
+
+std::optional<std::uint32_t> target_pool::choose(std::uint32_t placement,
+                                                 std::uint32_t waiting) const
+{
+    auto const& candidates = this->placements[placement].targets;
+    std::uint32_t best = no_target;
+    double best_cost = std::numeric_limits<double>::max();
+    for (auto const number : candidates)
+    {
+        auto const& target = this->targets[number];
+        if (!target.has_room())
+        {
+            continue;
+        }
+        // Among equally fast targets the least loaded one keeps the probability of a local
+        // slowdown low.
+        auto const load = static_cast<double>(target.running) / target.limit;
+        auto const cost = target.slowness * (1 + load * (similar_speed - 1));
+        if (cost < best_cost ||
+            (cost == best_cost && target.last_start < this->targets[best].last_start))
+        {
+            best = number;
+            best_cost = cost;
+        }
+    }
+    if (best == no_target)
+    {
+        return std::nullopt;
+    }
+    double const slowness = this->targets[best].slowness;
+    double faster_rate = 0;
+    double faster_slowness = 0;
+    for (auto const number : candidates)
+    {
+        auto const& target = this->targets[number];
+        if (target.limit > 0 && !target.has_room() && target.slowness * similar_speed < slowness)
+        {
+            faster_rate += target.running / target.slowness;
+            faster_slowness = std::max(faster_slowness, target.slowness);
+        }
+    }
+    // In units of the mean run time: all waiting tasks are served by the faster targets first.
+    if (faster_rate > 0 && waiting / faster_rate + faster_slowness < slowness)
+    {
+        return std::nullopt;
+    }
+    return best;
+}
+
+void target_pool::started(std::uint32_t target)
+{
+    auto& record = this->targets[target];
+    this->free -= record.has_room() ? 1 : 0;
+    ++record.running;
+    record.last_start = ++this->starts;
+}
+
+void target_pool::stopped(std::uint32_t target)
+{
+    auto& record = this->targets[target];
+    record.running -= record.running > 0 ? 1 : 0;
+    this->free += record.has_room() ? 1 : 0;
+}
+
+void target_pool::succeeded(std::uint32_t number, std::uint32_t route,
+                            std::chrono::microseconds run_time, base::steady_time now)
+{
+    auto& target = this->targets[number];
+    target.failures_in_row = 0;
+    target.refusals_in_row = 0;
+    target.failure_rate -= target.failure_rate * failure_weight;
+    ++target.results;
+    if (target.health.task_succeeded())
+    {
+        this->reset(target, now);
+    }
+    auto const seconds = std::max(1e-6, static_cast<double>(run_time.count()) * 1e-6);
+    auto const log_time = std::log(seconds);
+    auto& known = this->routes[route];
+    auto const learn = [](double& value, std::uint32_t& samples, double limit, double sample)
+    {
+        samples += samples < limit ? 1 : 0;
+        value += (sample - value) / samples;
+    };
+    if (target.samples > 0 || known.samples == 0)
+    {
+        learn(known.log_run_time, known.samples, max_route_samples, log_time - target.log_slowness);
+    }
+    learn(target.log_slowness, target.samples, max_speed_samples, log_time - known.log_run_time);
+    this->mean_run_time += (seconds / target.slowness - this->mean_run_time) * run_time_weight;
+    this->update_slowness();
+}
+
+void target_pool::failed(std::uint32_t number, job_evidence const& evidence, base::steady_time now)
+{
+    auto& target = this->targets[number];
+    if (evidence.failed_elsewhere && !evidence.succeeded_elsewhere)
+    {
+        // The job itself is the more likely cause.
+        return;
+    }
+    if (target.failures_in_row == 0)
+    {
+        target.first_failed_job = evidence.job;
+        target.several_jobs_failed = false;
+    }
+    target.several_jobs_failed |= target.first_failed_job != evidence.job;
+    ++target.failures_in_row;
+    ++target.results;
+    target.failure_rate += (1 - target.failure_rate) * failure_weight;
+    bool const target_is_the_cause = target.several_jobs_failed || evidence.succeeded_elsewhere;
+    bool const worse = target.failure_rate >= min_failure_rate && target.results >= min_results &&
+                       target.failure_rate >= min_failure_ratio * failure_rate_of_others(number);
+    if (!this->may_take_out(number, now))
+    {
+        return;
+    }
+    if (target.health.state() == health_state::probing || (worse && target_is_the_cause))
+    {
+        target.health.eject(now, this->jitter());
+    }
+    else if (target.failures_in_row >= failures_before_hold)
+    {
+        this->hold(target, target.failures_in_row - failures_before_hold, now);
+    }
+}
+
+void target_pool::refused(std::uint32_t number, start_refusal reason, base::steady_time now)
+{
+    auto& target = this->targets[number];
+    if (reason == start_refusal::no_slot)
+    {
+        target.usable = std::max(1U, std::min(target.usable, target.running));
+        target.next_raise = now + raise_interval;
+        if (target.running > 0)
+        {
+            return;
+        }
+    }
+    this->hold(target, target.refusals_in_row, now);
+    ++target.refusals_in_row;
+}
+
+double target_pool::tasks_per_second(std::uint32_t placement) const
+{
+    double rate = 0;
+    for (auto const number : this->placements[placement].targets)
+    {
+        auto const& target = this->targets[number];
+        if (target.open && target.health.state() == health_state::in_service)
+        {
+            rate += target.usable / target.slowness;
+        }
+    }
+    return rate / this->mean_run_time;
+}
+
+double target_pool::jitter()
+{
+    // The top 53 bits give the same value with every standard library.
+    return static_cast<double>(this->generator() >> 11U) * 0x1p-53;
+}
+
+std::string const& target_pool::name(std::uint32_t target) const
+{
+    return this->targets[target].info.name;
+}
+
+std::vector<target_view> target_pool::views() const
+{
+    std::vector<target_view> views;
+    for (auto const& target : this->targets)
+    {
+        if (target.removed && target.running == 0)
+        {
+            continue;
+        }
+        auto const open = target.known && target.open && !target.removed;
+        views.push_back({target.info.name, target.info.zone,
+                         open ? std::string(to_string(target.health.state())) : "closed",
+                         target.info.slots, target.running, target.slowness});
+    }
+    return views;
+}
+
+void target_pool::rebuild(base::steady_time now)
+{
+    this->last_change = std::max(this->last_change, now);
+    for (auto& placement : this->placements)
+    {
+        bool const was_empty = placement.targets.empty();
+        placement.targets.clear();
+        for (std::uint32_t number = 0; number < this->targets.size(); ++number)
+        {
+            auto const& target = this->targets[number];
+            if (target.known && !target.removed && meets(target.info, placement.rule))
+            {
+                placement.targets.push_back(number);
+            }
+        }
+        if (placement.targets.empty() && !was_empty)
+        {
+            placement.unplaceable_since = this->last_change;
+        }
+    }
+}
+
+void target_pool::update_slowness()
+{
+    double sum = 0;
+    double count = 0;
+    for (auto const& target : this->targets)
+    {
+        if (target.samples > 0)
+        {
+            sum += target.log_slowness;
+            ++count;
+        }
+    }
+    for (auto& target : this->targets)
+    {
+        target.slowness = target.samples > 0
+                              ? std::exp((target.log_slowness - sum / count) * target.samples /
+                                         (target.samples + prior_samples))
+                              : 1;
+    }
+}
+
+std::uint32_t target_pool::limit_of(target_record& target, base::steady_time now)
+{
+    if (!target.known || !target.open || target.removed || now < target.hold_until)
+    {
+        return 0;
+    }
+    target.health.advance(now);
+    if (target.health.state() != health_state::in_service)
+    {
+        return target.health.state() == health_state::probing ? 1 : 0;
+    }
+    if (target.usable < target.info.slots && now >= target.next_raise)
+    {
+        ++target.usable;
+        target.next_raise = now + raise_interval;
+    }
+    auto const ramped = now - target.ramp_start;
+    if (ramped >= this->ramp_up)
+    {
+        return target.usable;
+    }
+    auto const share = std::chrono::duration<double>(ramped) / this->ramp_up;
+    auto const slots = 1 + static_cast<std::uint32_t>(target.info.slots * share);
+    return std::min(target.usable, slots);
+}
+
+bool target_pool::may_take_out(std::uint32_t number, base::steady_time now) const
+{
+    std::uint32_t out = 1;
+    std::uint32_t all = 0;
+    for (std::uint32_t other = 0; other < this->targets.size(); ++other)
+    {
+        auto const& target = this->targets[other];
+        if (target.known && target.open && !target.removed)
+        {
+            ++all;
+            out += other != number &&
+                   (target.health.state() != health_state::in_service || now < target.hold_until);
+        }
+    }
+    return out * 2 <= all;
+}
+
+double target_pool::failure_rate_of_others(std::uint32_t number) const
+{
+    double sum = 0;
+    double count = 0;
+    for (std::uint32_t other = 0; other < this->targets.size(); ++other)
+    {
+        auto const& target = this->targets[other];
+        if (other != number && target.results > 0 &&
+            target.health.state() == health_state::in_service)
+        {
+            sum += target.failure_rate;
+            ++count;
+        }
+    }
+    return count > 0 ? sum / count : 1;
+}
+
+void target_pool::hold(target_record& target, std::uint32_t times, base::steady_time now)
+{
+    auto const length = std::chrono::duration<double, std::milli>(first_hold) *
+                        static_cast<double>(1U << std::min(times, max_hold_doublings)) *
+                        (1 + this->jitter());
+    target.hold_until = now + std::chrono::duration_cast<base::steady_time::duration>(length);
+}
+
+void target_pool::reset(target_record& target, base::steady_time now)
+{
+    target.ramp_start = now;
+    target.hold_until = now;
+    target.failures_in_row = 0;
+    target.refusals_in_row = 0;
+    target.failure_rate = 0;
+    target.results = 0;
+}
+
+} // namespace filbertroad::scheduling::internal
--- /dev/null
+++ b/filbertroad/scheduling/internal/target_pool.hpp
@@ -0,0 +1,160 @@
+#ifndef FILBERTROAD_SCHEDULING_INTERNAL_TARGET_POOL_HPP
+#define FILBERTROAD_SCHEDULING_INTERNAL_TARGET_POOL_HPP
+
+/// The targets of a shard: free slots, learnt speed, health, and the choice of a target for the
+/// next task. Targets and placement rules are numbered densely; the numbers stay valid until the
+/// target is removed.
+///
+///     target_pool pool(seed, ramp_up);
+///     pool.update(info, now);
+///     pool.refresh(now);
+///     auto choice = pool.choose(placement, waiting_tasks, now);
+///     pool.started(choice.target);
+///
+/// Not safe for several threads.
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/scheduling/internal/target_health.hpp"
+#include "filbertroad/scheduling/scheduler.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace filbertroad::scheduling::internal
+{
+
+inline constexpr std::uint32_t no_target = std::numeric_limits<std::uint32_t>::max();
+
+struct target_record
+{
+    target_info info;
+    target_health health;
+    bool known = false;
+    bool open = true;
+    bool removed = false;
+    std::uint32_t running = 0;
+    /// Slots in use at most: announced, or fewer after refusals for lack of room.
+    std::uint32_t usable = 0;
+    base::steady_time next_raise{};
+    base::steady_time ramp_start{};
+    /// No start before this time, after failed or refused starts.
+    base::steady_time hold_until{};
+    /// Number of the latest start; the target that waits longest goes first among equals.
+    std::uint64_t last_start = 0;
+    std::uint32_t refusals_in_row = 0;
+    std::uint32_t failures_in_row = 0;
+    /// Weighted share of failed tasks, number of results, and the jobs behind the failures.
+    double failure_rate = 0;
+    std::uint32_t results = 0;
+    std::uint64_t first_failed_job = 0;
+    bool several_jobs_failed = false;
+    /// Mean of the logarithm of run time relative to that of its route.
+    double log_slowness = 0;
+    std::uint32_t samples = 0;
+    /// Run time relative to the mean target.
+    double slowness = 1;
+    /// Slots open now; set by refresh.
+    std::uint32_t limit = 0;
+
+    [[nodiscard]] bool has_room() const { return this->running < this->limit; }
+};
+
+/// Evidence that a job gives about its target.
+struct job_evidence
+{
+    std::uint64_t job = 0;
+    bool failed_elsewhere = false;
+    bool succeeded_elsewhere = false;
+};
+
+class target_pool
+{
+public:
+    target_pool(std::uint64_t seed, std::chrono::milliseconds ramp_up);
+
+    void update(target_info const& info, base::steady_time now);
+    void set_open(std::string_view name, bool open, base::steady_time now);
+    void remove(std::string_view name);
+    /// Number of a target by name.
+    [[nodiscard]] std::optional<std::uint32_t> find(std::string_view name) const;
+    /// The same; adds a closed target of unknown size when there is none.
+    std::uint32_t find_or_add_closed(std::string_view name);
+
+    /// Number of a placement rule, or a new one.
+    std::uint32_t placement(placement_rule const& rule);
+    /// Whether a registered target meets the rule, and if not, since when.
+    [[nodiscard]] bool is_placeable(std::uint32_t placement) const;
+    [[nodiscard]] base::steady_time unplaceable_since(std::uint32_t placement) const;
+    [[nodiscard]] placement_rule const& rule(std::uint32_t placement) const;
+    [[nodiscard]] std::size_t placements_count() const { return this->placements.size(); }
+    /// Number of a route, or a new one.
+    std::uint32_t route(std::string_view name);
+
+    /// Brings limits that depend on time up to date. Call before choosing.
+    void refresh(base::steady_time now);
+    [[nodiscard]] std::uint32_t free_slots() const { return this->free; }
+    /// Target for the next of `waiting` tasks of a placement, or nothing when no target is free or
+    /// a faster one will be free soon enough.
+    [[nodiscard]] std::optional<std::uint32_t> choose(std::uint32_t placement,
+                                                      std::uint32_t waiting) const;
+    void started(std::uint32_t target);
+    void stopped(std::uint32_t target);
+    void succeeded(std::uint32_t target, std::uint32_t route, std::chrono::microseconds run_time,
+                   base::steady_time now);
+    void failed(std::uint32_t target, job_evidence const& evidence, base::steady_time now);
+    void refused(std::uint32_t target, start_refusal reason, base::steady_time now);
+
+    /// Tasks per second that the open slots complete, by learnt speed and run times.
+    [[nodiscard]] double tasks_per_second(std::uint32_t placement) const;
+    /// Uniform in [0, 1), from the seed.
+    double jitter();
+
+    [[nodiscard]] std::string const& name(std::uint32_t target) const;
+    [[nodiscard]] std::vector<target_view> views() const;
+
+private:
+    struct placement_class
+    {
+        placement_rule rule;
+        /// Registered targets that meet the rule.
+        std::vector<std::uint32_t> targets;
+        base::steady_time unplaceable_since{};
+    };
+    struct route_record
+    {
+        std::string name;
+        double log_run_time = 0;
+        std::uint32_t samples = 0;
+    };
+
+    void rebuild(base::steady_time now);
+    void update_slowness();
+    [[nodiscard]] std::uint32_t limit_of(target_record& target, base::steady_time now);
+    /// Whether the target may be ejected or held while at least half of the pool stays in service.
+    [[nodiscard]] bool may_take_out(std::uint32_t target, base::steady_time now) const;
+    [[nodiscard]] double failure_rate_of_others(std::uint32_t target) const;
+    void hold(target_record& target, std::uint32_t times, base::steady_time now);
+    void reset(target_record& target, base::steady_time now);
+
+    std::mt19937_64 generator;
+    std::chrono::milliseconds ramp_up;
+    std::vector<target_record> targets;
+    std::vector<placement_class> placements;
+    std::vector<route_record> routes;
+    /// Run time in seconds on a target of slowness 1.
+    double mean_run_time = 0.3;
+    std::uint32_t free = 0;
+    std::uint64_t starts = 0;
+    base::steady_time last_change{};
+};
+
+} // namespace filbertroad::scheduling::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/scheduling/scheduler_test.cpp
@@ -0,0 +1,372 @@
+#include "filbertroad/scheduling/scheduler.hpp"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <numeric>
+#include <string>
+#include <vector>
+
+namespace filbertroad::scheduling
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A scheduler with its clock; targets have passed their ramp-up.
+struct fixture : testing::Test
+{
+    base::steady_time now{1h};
+    scheduler queue = scheduler::builder().seed(7).build();
+
+    void add_target(std::string const& name, std::uint32_t slots, std::string const& zone = "khi-b")
+    {
+        this->queue.update_target({.name = name, .zone = zone, .labels = {}, .slots = slots},
+                                  this->now);
+    }
+    auto admit(std::uint64_t job, std::uint32_t tasks, std::string const& team = "depot",
+               placement_rule const& rule = {}, std::chrono::milliseconds deadline = 0ms)
+    {
+        job_entry entry{.job = job,
+                        .team = team,
+                        .route = "stock",
+                        .placement = rule,
+                        .tasks = {},
+                        .bytes = tasks * 100UL,
+                        .deadline = deadline};
+        entry.tasks.resize(tasks);
+        std::iota(entry.tasks.begin(), entry.tasks.end(), 0);
+        return this->queue.admit(entry, this->now);
+    }
+    std::vector<assignment> dispatch()
+    {
+        std::vector<assignment> out;
+        this->queue.dispatch(this->now, out);
+        return out;
+    }
+    std::vector<rejection> expire()
+    {
+        std::vector<rejection> out;
+        this->queue.expire(this->now, out);
+        return out;
+    }
+    void finish_all(std::vector<assignment> const& started, finish how, std::chrono::microseconds t)
+    {
+        for (auto const& one : started)
+        {
+            this->queue.task_finished(one.task, how, t, this->now);
+        }
+    }
+    target_view view(std::string const& name)
+    {
+        for (auto const& target : this->queue.targets())
+        {
+            if (target.name == name)
+            {
+                return target;
+            }
+        }
+        return {};
+    }
+};
+
+using slots = fixture;
+using order = fixture;
+using health = fixture;
+using admission = fixture;
+using expiry = fixture;
+
+TEST_F(slots, cold_target_does_not_receive_a_burst)
+{
+    this->add_target("a", 8);
+    ASSERT_TRUE(this->admit(1, 100).has_value());
+    EXPECT_EQ(this->dispatch().size(), 1U);
+    this->now += 1s;
+    EXPECT_EQ(this->dispatch().size(), 4U);
+    this->now += 1s;
+    EXPECT_EQ(this->dispatch().size(), 3U);
+}
+
+TEST_F(slots, refused_task_starts_again_first_and_elsewhere)
+{
+    this->add_target("a", 1);
+    ASSERT_TRUE(this->admit(1, 3).has_value());
+    this->now += 3s;
+    auto const first = this->dispatch();
+    ASSERT_EQ(first.size(), 1U);
+    this->queue.task_refused(first[0].task, start_refusal::unreachable, this->now);
+    EXPECT_TRUE(this->dispatch().empty());
+    this->add_target("b", 1);
+    auto const second = this->dispatch();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].task, first[0].task);
+    EXPECT_EQ(second[0].target, "b");
+}
+
+TEST_F(slots, lowered_limit_rises_again)
+{
+    this->add_target("a", 4);
+    ASSERT_TRUE(this->admit(1, 20).has_value());
+    this->now += 3s;
+    auto started = this->dispatch();
+    ASSERT_EQ(started.size(), 4U);
+    this->queue.task_refused(started[3].task, start_refusal::no_slot, this->now);
+    EXPECT_TRUE(this->dispatch().empty());
+    this->now += 1s;
+    EXPECT_EQ(this->dispatch().size(), 1U);
+}
+
+TEST_F(slots, removed_target_with_running_tasks_gets_no_new_ones)
+{
+    this->add_target("a", 2);
+    ASSERT_TRUE(this->admit(1, 3).has_value());
+    this->now += 3s;
+    auto const started = this->dispatch();
+    ASSERT_EQ(started.size(), 2U);
+    this->queue.remove_target("a", this->now);
+    this->finish_all({started[0]}, finish::succeeded, 1s);
+    EXPECT_TRUE(this->dispatch().empty());
+    EXPECT_EQ(this->queue.targets().size(), 1U);
+    this->finish_all({started[1]}, finish::succeeded, 1s);
+    EXPECT_TRUE(this->queue.targets().empty());
+}
+
+TEST_F(slots, adopted_tasks_occupy_slots)
+{
+    this->queue.adopt_running({9, 1}, "depot", "a", this->now);
+    this->add_target("a", 2);
+    ASSERT_TRUE(this->admit(1, 3).has_value());
+    this->now += 3s;
+    EXPECT_EQ(this->dispatch().size(), 1U);
+    this->queue.task_finished({9, 1}, finish::succeeded, 1s, this->now);
+    EXPECT_EQ(this->dispatch().size(), 1U);
+}
+
+TEST_F(order, small_job_does_not_wait_behind_a_large_one)
+{
+    this->add_target("a", 1);
+    ASSERT_TRUE(this->admit(1, 200).has_value());
+    ASSERT_TRUE(this->admit(2, 1).has_value());
+    EXPECT_EQ(this->dispatch().at(0).task.job, 2U);
+}
+
+TEST_F(order, large_job_does_not_wait_forever_behind_small_ones)
+{
+    this->add_target("a", 1);
+    ASSERT_TRUE(this->admit(1, 270).has_value());
+    bool large_started = false;
+    for (std::uint64_t job = 2; job < 100 && !large_started; ++job)
+    {
+        this->now += 100ms;
+        ASSERT_TRUE(this->admit(job, 1).has_value());
+        auto const started = this->dispatch();
+        large_started = started.at(0).task.job == 1;
+        this->finish_all(started, finish::succeeded, 100ms);
+    }
+    EXPECT_TRUE(large_started);
+}
+
+TEST_F(order, team_over_its_quota_leaves_slots_to_others)
+{
+    std::vector<team_limits> const teams{{"depot", 1, 2, 1000}, {"press", 1, 8, 1000}};
+    this->queue.set_teams(teams);
+    this->add_target("a", 8);
+    ASSERT_TRUE(this->admit(1, 100, "depot").has_value());
+    ASSERT_TRUE(this->admit(2, 100, "press").has_value());
+    this->now += 3s;
+    std::map<std::uint64_t, int> started;
+    for (auto const& one : this->dispatch())
+    {
+        ++started[one.task.job];
+    }
+    EXPECT_EQ(started[1], 2);
+    EXPECT_EQ(started[2], 6);
+}
+
+TEST_F(health, target_that_fails_everything_at_once_does_not_attract_work)
+{
+    this->add_target("bad", 8);
+    this->add_target("good", 8);
+    this->now += 3s;
+    int failures = 0;
+    for (std::uint64_t job = 1; job <= 3000; ++job)
+    {
+        ASSERT_TRUE(this->admit(job, 1).has_value());
+        this->now += 1ms;
+        for (auto const& one : this->dispatch())
+        {
+            bool const bad = one.target == "bad";
+            failures += bad;
+            this->queue.task_finished(one.task, bad ? finish::failed : finish::succeeded, 1ms,
+                                      this->now);
+        }
+    }
+    EXPECT_LT(failures, 30);
+    EXPECT_NE(this->view("bad").health, "in_service");
+    EXPECT_EQ(this->view("good").health, "in_service");
+}
+
+TEST_F(health, job_that_fails_everywhere_does_not_eject_targets)
+{
+    for (auto const* name : {"a", "b", "c", "d"})
+    {
+        this->add_target(name, 8);
+    }
+    this->now += 3s;
+    for (std::uint64_t job = 1; job < 200; ++job)
+    {
+        ASSERT_TRUE(this->admit(job, 20).has_value());
+        for (int round = 0; round < 20; ++round)
+        {
+            this->now += 10ms;
+            for (auto const& one : this->dispatch())
+            {
+                bool const fails = one.task.job % 4 == 0;
+                this->queue.task_finished(one.task, fails ? finish::failed : finish::succeeded,
+                                          10ms, this->now);
+            }
+        }
+        for (auto const& target : this->queue.targets())
+        {
+            ASSERT_EQ(target.health, "in_service") << "job " << job << " target " << target.name;
+        }
+    }
+}
+
+TEST_F(health, at_most_half_of_the_pool_is_ejected)
+{
+    for (auto const* name : {"a", "b", "c", "d", "e"})
+    {
+        this->add_target(name, 2);
+    }
+    this->now += 3s;
+    for (std::uint64_t job = 1; job < 2000; ++job)
+    {
+        ASSERT_TRUE(this->admit(job, 1).has_value());
+        this->now += 5ms;
+        for (auto const& one : this->dispatch())
+        {
+            bool const good = one.target == "e";
+            this->queue.task_finished(one.task, good ? finish::succeeded : finish::failed, 5ms,
+                                      this->now);
+        }
+        int out = 0;
+        for (auto const& target : this->queue.targets())
+        {
+            out += target.health != "in_service";
+        }
+        ASSERT_LE(out, 2);
+    }
+}
+
+TEST_F(health, ejected_target_that_recovered_returns)
+{
+    this->add_target("a", 4);
+    this->add_target("b", 4);
+    this->now += 3s;
+    bool was_ejected = false;
+    for (std::uint64_t job = 1; job < 4000; ++job)
+    {
+        ASSERT_TRUE(this->admit(job, 1).has_value());
+        this->now += 5ms;
+        for (auto const& one : this->dispatch())
+        {
+            bool const fails = one.target == "b" && job < 400;
+            this->queue.task_finished(one.task, fails ? finish::failed : finish::succeeded, 5ms,
+                                      this->now);
+        }
+        was_ejected |= this->view("b").health == "ejected";
+    }
+    EXPECT_TRUE(was_ejected);
+    EXPECT_EQ(this->view("b").health, "in_service");
+}
+
+TEST_F(admission, full_queue_refuses_with_a_reason_and_a_time)
+{
+    this->queue = scheduler::builder().seed(1).max_queued_tasks(10).build();
+    ASSERT_TRUE(this->admit(1, 10).has_value());
+    auto const refused = this->admit(2, 1);
+    ASSERT_FALSE(refused.has_value());
+    EXPECT_EQ(refused.error().code, admission_code::overloaded);
+    EXPECT_GE(refused.error().retry_after, 100ms);
+    EXPECT_EQ(this->queue.cancel_job(1).size(), 10U);
+    EXPECT_TRUE(this->admit(2, 1).has_value());
+}
+
+TEST_F(admission, bytes_are_bounded)
+{
+    this->queue = scheduler::builder().seed(1).max_queued_bytes(1000).build();
+    ASSERT_TRUE(this->admit(1, 10).has_value());
+    EXPECT_FALSE(this->admit(2, 1).has_value());
+}
+
+TEST_F(admission, team_fills_only_its_own_part_of_the_queue)
+{
+    std::vector<team_limits> const teams{{"depot", 1, 2, 10}, {"press", 1, 8, 10}};
+    this->queue.set_teams(teams);
+    ASSERT_TRUE(this->admit(1, 10, "depot").has_value());
+    auto const refused = this->admit(2, 1, "depot");
+    ASSERT_FALSE(refused.has_value());
+    EXPECT_EQ(refused.error().code, admission_code::team_over_quota);
+    EXPECT_TRUE(this->admit(3, 10, "press").has_value());
+    EXPECT_FALSE(this->admit(4, 1, "unknown").has_value());
+}
+
+TEST_F(admission, job_that_would_miss_its_deadline_is_refused_early)
+{
+    this->add_target("a", 1);
+    ASSERT_TRUE(this->admit(1, 100).has_value());
+    this->now += 3s;
+    for (int i = 0; i < 50; ++i)
+    {
+        this->finish_all(this->dispatch(), finish::succeeded, 300ms);
+    }
+    auto const refused = this->admit(2, 100, "depot", {}, 100ms);
+    ASSERT_FALSE(refused.has_value());
+    EXPECT_EQ(refused.error().code, admission_code::deadline_unreachable);
+}
+
+TEST_F(expiry, job_that_no_target_can_run_ends_with_its_reason)
+{
+    this->add_target("a", 1, "khi-b");
+    ASSERT_TRUE(this->admit(1, 2, "depot", {.zones = {"lhr-a"}, .labels = {}}).has_value());
+    this->now += 4s;
+    EXPECT_TRUE(this->expire().empty());
+    this->now += 1s;
+    auto const rejected = this->expire();
+    ASSERT_EQ(rejected.size(), 2U);
+    EXPECT_NE(rejected[0].reason.find("placement"), std::string::npos);
+    EXPECT_EQ(this->queue.queue().queued, 0U);
+}
+
+TEST_F(expiry, closed_zone_does_not_reject_its_queue)
+{
+    this->add_target("a", 1, "khi-b");
+    this->queue.set_target_open("a", false, this->now);
+    ASSERT_TRUE(this->admit(1, 2).has_value());
+    this->now += 60s;
+    EXPECT_TRUE(this->expire().empty());
+    this->queue.set_target_open("a", true, this->now);
+    EXPECT_EQ(this->dispatch().size(), 1U);
+}
+
+TEST_F(expiry, task_past_its_deadline_does_not_start)
+{
+    this->add_target("a", 1);
+    ASSERT_TRUE(this->admit(1, 2, "depot", {}, 700ms).has_value());
+    EXPECT_EQ(this->dispatch().size(), 1U);
+    this->now += 701ms;
+    ASSERT_EQ(this->expire().size(), 1U);
+}
+
+TEST_F(expiry, age_of_the_oldest_job_is_visible)
+{
+    ASSERT_TRUE(this->admit(1, 2).has_value());
+    this->now += 4s;
+    ASSERT_TRUE(this->admit(2, 2).has_value());
+    EXPECT_EQ(this->queue.queue().oldest, 4000ms);
+    EXPECT_EQ(this->queue.queue().queued, 4U);
+}
+
+} // namespace
+} // namespace filbertroad::scheduling
