Keep a part of the queue for each team

Cause: teams held back by their quotas filled the queue of an owner; at ten times capacity slots that another team may use stayed idle. Change: half of the queue is divided between the teams by weight.

--- a/filbertroad/scheduling/internal/admission.cpp
+++ b/filbertroad/scheduling/internal/admission.cpp
@@ -23,8 +23,24 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(wait * (1 + request.jitter / 2));
 }
 
+/// Whether `size` more fit into the queue: within its bound, and either within what is kept for the
+/// team or without what is kept for others.
+bool fits(std::uint64_t size, std::uint64_t queued, std::uint64_t limit, std::uint64_t team_queued,
+          std::uint64_t own, std::uint64_t unused_of_others)
+{
+    return queued + size <= limit &&
+           (team_queued + size <= own || queued + size + unused_of_others <= limit);
+}
+
 } // namespace
 
+queue_reserve reserve_of(std::uint32_t weight, std::uint64_t all_weights,
+                         admission_limits const& limits)
+{
+    return {std::uint64_t{limits.max_queued_tasks} / 2 * weight / all_weights,
+            limits.max_queued_bytes / 2 * weight / all_weights};
+}
+
 std::optional<admission_error> check_admission(admission_request const& request,
                                                admission_limits const& limits)
 {
@@ -35,10 +51,12 @@
                                "team " + request.team + " has no quota",
                                retry_after(request, tasks)};
     }
-    if (request.tasks >
-            limits.max_queued_tasks - std::min(limits.max_queued_tasks, request.queued_tasks) ||
-        request.bytes >
-            limits.max_queued_bytes - std::min(limits.max_queued_bytes, request.queued_bytes))
+    bool const no_room =
+        !fits(request.tasks, request.queued_tasks, limits.max_queued_tasks, request.team_queued,
+              request.own.tasks, request.unused_of_others.tasks) ||
+        !fits(request.bytes, request.queued_bytes, limits.max_queued_bytes,
+              request.team_queued_bytes, request.own.bytes, request.unused_of_others.bytes);
+    if (no_room)
     {
         return admission_error{admission_code::overloaded,
                                "queue holds " + std::to_string(request.queued_tasks) + " of " +
--- a/filbertroad/scheduling/internal/admission.hpp
+++ b/filbertroad/scheduling/internal/admission.hpp
@@ -26,6 +26,18 @@
     std::size_t max_queued_bytes = 0;
 };
 
+/// Part of the queue in tasks and bytes.
+struct queue_reserve
+{
+    std::uint64_t tasks = 0;
+    std::uint64_t bytes = 0;
+};
+
+/// Half of the queue is divided between the teams by weight. Without that, teams that are held back
+/// by their quotas fill the queue, and slots stay idle that other teams may use.
+[[nodiscard]] queue_reserve reserve_of(std::uint32_t weight, std::uint64_t all_weights,
+                                       admission_limits const& limits);
+
 /// What is known about a job and the queue when it arrives.
 struct admission_request
 {
@@ -35,9 +47,13 @@
     std::chrono::milliseconds deadline{0};
     std::uint32_t queued_tasks = 0;
     std::size_t queued_bytes = 0;
+    /// Parts of the queue kept for this team and, as far as unused, for the others.
+    queue_reserve own;
+    queue_reserve unused_of_others;
     std::string team;
     bool team_known = false;
     std::uint32_t team_queued = 0;
+    std::size_t team_queued_bytes = 0;
     std::uint32_t team_max_queued = 0;
     /// Tasks that start before the last one of this job.
     double tasks_ahead = 0;
--- a/filbertroad/scheduling/internal/job_store.cpp
+++ b/filbertroad/scheduling/internal/job_store.cpp
@@ -145,6 +145,7 @@
         this->deadlines.insert(job);
     }
     this->bytes += job.bytes;
+    lane.team->queued_bytes += job.bytes;
 }
 
 void job_store::unlink(job_record& job)
@@ -157,6 +158,7 @@
         this->deadlines.erase(this->deadlines.iterator_to(job));
     }
     this->bytes -= job.bytes;
+    lane.team->queued_bytes -= job.bytes;
     if (lane.jobs.empty())
     {
         this->active.back()->active_position = lane.active_position;
--- a/filbertroad/scheduling/internal/job_store.hpp
+++ b/filbertroad/scheduling/internal/job_store.hpp
@@ -99,6 +99,7 @@
     bool configured = false;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
+    std::size_t queued_bytes = 0;
     /// Number of the last assignment; the team served longest ago goes first among equals.
     std::uint64_t last_served = 0;
 };
--- a/filbertroad/scheduling/internal/scheduler_state.hpp
+++ b/filbertroad/scheduling/internal/scheduler_state.hpp
@@ -51,6 +51,9 @@
 
     /// Record of a team, created when it is new; its address is stable.
     internal::team_record& team(std::string_view name);
+    /// Fills in which parts of the queue are kept for `team` and for the other teams.
+    void add_reserves(internal::team_record const& team,
+                      internal::admission_request& request) const;
     /// Takes a running task off its target, team and job; nothing when it is unknown.
     std::optional<running_task> stop(task_id const& task);
     /// The lane that starts the next task, among lanes whose team is within its quota and whose
--- a/filbertroad/scheduling/internal/target_pool.cpp
+++ b/filbertroad/scheduling/internal/target_pool.cpp
@@ -9,26 +9,6 @@
 namespace
 {
 
-/// Run times of one route differ by a factor of 20, so that fewer samples than this give an
-/// unsteady order of targets.
-constexpr double max_speed_samples = 64;
-/// Weight of the assumption that a target is as fast as the others, in samples.
-constexpr double prior_samples = 2;
-constexpr double max_route_samples = 512;
-constexpr double run_time_weight = 1.0 / 256;
-constexpr double failure_weight = 1.0 / 8;
-/// A target is ejected only after this many results, above this rate, and when it fails this many
-/// times more often than the others.
-constexpr std::uint32_t min_results = 5;
-constexpr double min_failure_rate = 0.4;
-constexpr double min_failure_ratio = 3;
-/// From this many failures in a row on, starts are held back: a target that fails at once would
-/// otherwise take most of the queue before its failure rate is known.
-constexpr std::uint32_t failures_before_hold = 3;
-constexpr std::chrono::milliseconds first_hold{50};
-constexpr std::uint32_t max_hold_doublings = 5;
-/// Time after which a limit that was lowered by a refusal rises by one slot.
-constexpr std::chrono::milliseconds raise_interval{500};
 /// Targets whose slowness differs by less count as equally fast.
 constexpr double similar_speed = 1.25;
 
@@ -234,85 +214,6 @@
     this->free += record.has_room() ? 1 : 0;
 }
 
-void target_pool::succeeded(std::uint32_t number, std::uint32_t route,
-                            std::chrono::microseconds run_time, base::steady_time now)
-{
-    auto& target = this->targets[number];
-    target.failures_in_row = 0;
-    target.refusals_in_row = 0;
-    target.failure_rate -= target.failure_rate * failure_weight;
-    ++target.results;
-    if (target.health.task_succeeded())
-    {
-        this->reset(target, now);
-    }
-    auto const seconds = std::max(1e-6, static_cast<double>(run_time.count()) * 1e-6);
-    auto const log_time = std::log(seconds);
-    auto& known = this->routes[route];
-    auto const learn = [](double& value, std::uint32_t& samples, double limit, double sample)
-    {
-        samples += samples < limit ? 1 : 0;
-        value += (sample - value) / samples;
-    };
-    if (target.samples > 0 || known.samples == 0)
-    {
-        learn(known.log_run_time, known.samples, max_route_samples, log_time - target.log_slowness);
-    }
-    learn(target.log_slowness, target.samples, max_speed_samples, log_time - known.log_run_time);
-    this->mean_run_time += (seconds / target.slowness - this->mean_run_time) * run_time_weight;
-    this->update_slowness();
-}
-
-void target_pool::failed(std::uint32_t number, job_evidence const& evidence, base::steady_time now)
-{
-    auto& target = this->targets[number];
-    if (evidence.failed_elsewhere && !evidence.succeeded_elsewhere)
-    {
-        // The job itself is the more likely cause.
-        return;
-    }
-    if (target.failures_in_row == 0)
-    {
-        target.first_failed_job = evidence.job;
-        target.several_jobs_failed = false;
-    }
-    target.several_jobs_failed |= target.first_failed_job != evidence.job;
-    ++target.failures_in_row;
-    ++target.results;
-    target.failure_rate += (1 - target.failure_rate) * failure_weight;
-    bool const target_is_the_cause = target.several_jobs_failed || evidence.succeeded_elsewhere;
-    bool const worse = target.failure_rate >= min_failure_rate && target.results >= min_results &&
-                       target.failure_rate >= min_failure_ratio * failure_rate_of_others(number);
-    if (!this->may_take_out(number, now))
-    {
-        return;
-    }
-    if (target.health.state() == health_state::probing || (worse && target_is_the_cause))
-    {
-        target.health.eject(now, this->jitter());
-    }
-    else if (target.failures_in_row >= failures_before_hold)
-    {
-        this->hold(target, target.failures_in_row - failures_before_hold, now);
-    }
-}
-
-void target_pool::refused(std::uint32_t number, start_refusal reason, base::steady_time now)
-{
-    auto& target = this->targets[number];
-    if (reason == start_refusal::no_slot)
-    {
-        target.usable = std::max(1U, std::min(target.usable, target.running));
-        target.next_raise = now + raise_interval;
-        if (target.running > 0)
-        {
-            return;
-        }
-    }
-    this->hold(target, target.refusals_in_row, now);
-    ++target.refusals_in_row;
-}
-
 double target_pool::tasks_per_second(std::uint32_t placement) const
 {
     double rate = 0;
@@ -377,27 +278,6 @@
     }
 }
 
-void target_pool::update_slowness()
-{
-    double sum = 0;
-    double count = 0;
-    for (auto const& target : this->targets)
-    {
-        if (target.samples > 0)
-        {
-            sum += target.log_slowness;
-            ++count;
-        }
-    }
-    for (auto& target : this->targets)
-    {
-        target.slowness = target.samples > 0
-                              ? std::exp((target.log_slowness - sum / count) * target.samples /
-                                         (target.samples + prior_samples))
-                              : 1;
-    }
-}
-
 std::uint32_t target_pool::limit_of(target_record& target, base::steady_time now)
 {
     if (!target.known || !target.open || target.removed || now < target.hold_until)
@@ -424,56 +304,4 @@
     return std::min(target.usable, slots);
 }
 
-bool target_pool::may_take_out(std::uint32_t number, base::steady_time now) const
-{
-    std::uint32_t out = 1;
-    std::uint32_t all = 0;
-    for (std::uint32_t other = 0; other < this->targets.size(); ++other)
-    {
-        auto const& target = this->targets[other];
-        if (target.known && target.open && !target.removed)
-        {
-            ++all;
-            out += other != number &&
-                   (target.health.state() != health_state::in_service || now < target.hold_until);
-        }
-    }
-    return out * 2 <= all;
-}
-
-double target_pool::failure_rate_of_others(std::uint32_t number) const
-{
-    double sum = 0;
-    double count = 0;
-    for (std::uint32_t other = 0; other < this->targets.size(); ++other)
-    {
-        auto const& target = this->targets[other];
-        if (other != number && target.results > 0 &&
-            target.health.state() == health_state::in_service)
-        {
-            sum += target.failure_rate;
-            ++count;
-        }
-    }
-    return count > 0 ? sum / count : 1;
-}
-
-void target_pool::hold(target_record& target, std::uint32_t times, base::steady_time now)
-{
-    auto const length = std::chrono::duration<double, std::milli>(first_hold) *
-                        static_cast<double>(1U << std::min(times, max_hold_doublings)) *
-                        (1 + this->jitter());
-    target.hold_until = now + std::chrono::duration_cast<base::steady_time::duration>(length);
-}
-
-void target_pool::reset(target_record& target, base::steady_time now)
-{
-    target.ramp_start = now;
-    target.hold_until = now;
-    target.failures_in_row = 0;
-    target.refusals_in_row = 0;
-    target.failure_rate = 0;
-    target.results = 0;
-}
-
 } // namespace filbertroad::scheduling::internal
--- a/filbertroad/scheduling/internal/target_pool.hpp
+++ b/filbertroad/scheduling/internal/target_pool.hpp
@@ -32,6 +32,9 @@
 
 inline constexpr std::uint32_t no_target = std::numeric_limits<std::uint32_t>::max();
 
+/// Time after which a limit that was lowered by a refusal rises by one slot.
+inline constexpr std::chrono::milliseconds raise_interval{500};
+
 struct target_record
 {
     target_info info;
--- a/filbertroad/scheduling/scheduler.cpp
+++ b/filbertroad/scheduling/scheduler.cpp
@@ -77,20 +77,24 @@
     auto& team = state.team(job.team);
     auto const placement = state.targets.placement(job.placement);
     auto const tasks = static_cast<std::uint32_t>(job.tasks.size());
-    internal::admission_request const request{
+    internal::admission_request request{
         .tasks = tasks,
         .bytes = job.bytes,
         .deadline = job.deadline,
         .queued_tasks = state.jobs.queued_tasks(),
         .queued_bytes = state.jobs.queued_bytes(),
+        .own = {},
+        .unused_of_others = {},
         .team = job.team,
         .team_known = team.configured,
         .team_queued = team.queued,
+        .team_queued_bytes = team.queued_bytes,
         .team_max_queued = team.max_queued,
         .tasks_ahead = static_cast<double>(state.jobs.queued_tasks()) + tasks,
         .tasks_per_second = state.targets.tasks_per_second(placement),
         .jitter = state.targets.jitter(),
     };
+    state.add_reserves(team, request);
     if (auto refusal = internal::check_admission(request, state.limits))
     {
         return *std::move(refusal);
@@ -225,6 +229,37 @@
     return created;
 }
 
+void scheduler::state::add_reserves(internal::team_record const& team,
+                                    internal::admission_request& request) const
+{
+    if (!this->teams_configured)
+    {
+        return;
+    }
+    std::uint64_t weights = 0;
+    for (auto const& other : this->teams)
+    {
+        weights += other->configured ? other->weight : 0;
+    }
+    for (auto const& other : this->teams)
+    {
+        if (!other->configured)
+        {
+            continue;
+        }
+        auto const reserve = internal::reserve_of(other->weight, weights, this->limits);
+        if (other.get() == &team)
+        {
+            request.own = reserve;
+            continue;
+        }
+        request.unused_of_others.tasks +=
+            reserve.tasks - std::min<std::uint64_t>(reserve.tasks, other->queued);
+        request.unused_of_others.bytes +=
+            reserve.bytes - std::min<std::uint64_t>(reserve.bytes, other->queued_bytes);
+    }
+}
+
 internal::lane* scheduler::state::next_lane() const
 {
     internal::lane* best = nullptr;
--- a/filbertroad/scheduling/scheduler.hpp
+++ b/filbertroad/scheduling/scheduler.hpp
@@ -34,6 +34,8 @@
     std::uint64_t job = 0;
     std::uint32_t index = 0;
 
+    // clang-tidy 14 mistakes the rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(task_id const&, task_id const&) = default;
 };
 
