--- /dev/null
+++ b/filbertroad/submission/internal/errors.hpp
@@ -0,0 +1,54 @@
+#ifndef FILBERTROAD_SUBMISSION_INTERNAL_ERRORS_HPP
+#define FILBERTROAD_SUBMISSION_INTERNAL_ERRORS_HPP
+
+/// Errors of requests. One table gives each code its text, what is certain about the request
+/// ("not run"), and when to ask again.
+///
+///     outbox.answer(number, internal::make_error(internal::error_code::key_reused, detail, seed));
+
+#include "filbertroad/wire/link.pb.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+
+namespace filbertroad::submission::internal
+{
+
+enum class error_code : std::uint8_t
+{
+    bad_key,
+    bad_request,
+    /// The key belongs to a job with another body.
+    key_reused,
+    wrong_team,
+    key_expired,
+    key_in_future,
+    not_owner,
+    leaving,
+    not_confirmed,
+    /// Another owner may have accepted the key, and this is not settled yet.
+    outcome_unknown,
+    overloaded,
+    team_over_quota,
+    deadline_unreachable,
+    memory_full,
+    /// Admission refused the rest of an interrupted job; some of its tasks may have run.
+    rest_not_admitted,
+    unknown_job,
+    job_not_ended,
+    /// The answers were acknowledged and are forgotten.
+    acknowledged,
+};
+
+/// `seed` spreads the retry times of different requests.
+[[nodiscard]] wire::request_error make_error(error_code code, std::string_view detail,
+                                             std::uint64_t seed);
+
+/// As above, with a retry time that the cause of the refusal gives.
+[[nodiscard]] wire::request_error make_error(error_code code, std::string_view detail,
+                                             std::chrono::milliseconds retry_after);
+
+} // namespace filbertroad::submission::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/submission/internal/inquiry.hpp
@@ -0,0 +1,65 @@
+#ifndef FILBERTROAD_SUBMISSION_INTERNAL_INQUIRY_HPP
+#define FILBERTROAD_SUBMISSION_INTERNAL_INQUIRY_HPP
+
+/// Requests for keys that another member may hold. They wait until every other member has said
+/// that it does not hold the key, and until the recovery of removed members is complete.
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/model/job_key.hpp"
+#include "filbertroad/submission/shard_owner.hpp"
+#include "filbertroad/wire/link.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <variant>
+#include <vector>
+
+namespace filbertroad::submission::internal
+{
+
+struct submit_call
+{
+    wire::submit_request request;
+    job_limits limits;
+};
+
+struct query_call
+{
+    wire::job_query query;
+};
+
+struct cancel_call
+{
+    wire::job_query query;
+};
+
+struct acknowledge_call
+{
+    wire::job_query query;
+};
+
+using call = std::variant<submit_call, query_call, cancel_call, acknowledge_call>;
+
+struct pending_call
+{
+    std::uint64_t request_number = 0;
+    call content;
+    std::size_t bytes = 0;
+    /// When the caller is told to ask again.
+    base::steady_time until;
+};
+
+struct inquiry
+{
+    base::system_time created;
+    std::uint64_t view = 0;
+    /// The members that have not answered, and when to ask them again.
+    std::map<model::process_id, base::steady_time> awaited;
+    std::vector<pending_call> calls;
+    /// No request: the job is to end because its caller did not resubmit it.
+    bool ends_job = false;
+};
+
+} // namespace filbertroad::submission::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/submission/internal/job.hpp
@@ -0,0 +1,129 @@
+#ifndef FILBERTROAD_SUBMISSION_INTERNAL_JOB_HPP
+#define FILBERTROAD_SUBMISSION_INTERNAL_JOB_HPP
+
+/// A job and its tasks as the owner holds them. Tasks are stored without their identity, and
+/// history lines without text, because an owner holds every key of the last quarter of an hour.
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/model/job_key.hpp"
+#include "filbertroad/scheduling/scheduler.hpp"
+#include "filbertroad/submission/internal/task_lifecycle.hpp"
+#include "filbertroad/wire/link.pb.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace filbertroad::submission::internal
+{
+
+struct agent_record;
+
+/// What a task ended with.
+struct task_answer
+{
+    wire::outcome outcome = wire::outcome_unset;
+    std::string body;
+    std::string reason;
+    std::string target;
+    std::uint32_t run_time_us = 0;
+    std::uint64_t started_unix_ms = 0;
+};
+
+struct task
+{
+    task_state state = task_state::queued;
+    /// Started by an earlier owner; its start is known from a ledger.
+    bool adopted = false;
+    /// Name of the task in the scheduler while it is queued or at an agent.
+    std::uint64_t number = 0;
+    /// Where the task was sent; null unless it is at an agent or was lost there.
+    agent_record* agent = nullptr;
+    /// Empty once the task has ended.
+    std::string payload;
+    std::unique_ptr<task_answer> answer;
+};
+
+enum class history_event : std::uint8_t
+{
+    accepted,
+    recovered,
+    resumed,
+    sent,
+    refused,
+    not_received,
+    running,
+    cancel_requested,
+    ended,
+    handed_over,
+    /// Later lines are left out to bound memory.
+    truncated,
+};
+
+/// One line of `explain`. The target is a number from job_table::number_of_name.
+struct history_line
+{
+    std::uint64_t unix_ms = 0;
+    std::uint32_t index = 0;
+    std::uint32_t target = 0;
+    history_event event = history_event::accepted;
+    wire::refusal refusal = wire::refusal_unset;
+};
+
+/// Index of the history lines that concern the whole job.
+inline constexpr std::uint32_t whole_job = 0xffffffffU;
+
+/// The parts that only a submitted or recovered job needs; an acknowledged job drops them.
+struct job_content
+{
+    std::string traceparent;
+    std::vector<task> tasks;
+    std::vector<history_line> history;
+    std::vector<std::string> needs;
+    scheduling::placement_rule placement;
+    std::chrono::milliseconds task_timeout{0};
+    std::chrono::milliseconds deadline{0};
+    /// Names in the scheduler that refer to this job.
+    std::vector<std::uint64_t> numbers;
+    /// Requests that wait for the end.
+    std::vector<std::uint64_t> waiting;
+    std::string reason;
+    /// When the job became known from a ledger.
+    base::steady_time interrupted_at;
+    /// The view in which the other members said that they do not hold the key.
+    std::uint64_t cleared_view = 0;
+    std::uint32_t interrupted_tasks = 0;
+    std::uint32_t queued_tasks = 0;
+    std::uint32_t succeeded_tasks = 0;
+    /// The caller's request was seen by this owner.
+    bool submitted = false;
+    bool repeatable = false;
+    bool cancel_requested = false;
+};
+
+struct job
+{
+    model::job_id id;
+    std::string digest;
+    base::system_time created;
+    base::system_time ended_at;
+    base::system_time forget_at;
+    /// Null once the answers were acknowledged.
+    std::unique_ptr<job_content> content;
+    /// Order of acceptance at this owner.
+    std::uint64_t serial = 0;
+    std::size_t bytes = 0;
+    std::uint32_t task_count = 0;
+    std::uint32_t ended_tasks = 0;
+    /// Number from job_table::number_of_name.
+    std::uint32_t team = 0;
+    bool failed = false;
+    bool handed_over = false;
+
+    [[nodiscard]] bool has_ended() const { return this->ended_tasks == this->task_count; }
+};
+
+} // namespace filbertroad::submission::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/submission/internal/job_table.hpp
@@ -0,0 +1,78 @@
+#ifndef FILBERTROAD_SUBMISSION_INTERNAL_JOB_TABLE_HPP
+#define FILBERTROAD_SUBMISSION_INTERNAL_JOB_TABLE_HPP
+
+/// The jobs of an owner by identity, by serial and by their numbers in the scheduler, with the
+/// bytes that they hold and the time at which each is forgotten.
+///
+///     auto& job = jobs.add(id, created, digest, task_count);
+///     jobs.hold(job, payload.size());
+///     auto* found = jobs.find(id);
+
+#include "filbertroad/submission/internal/job.hpp"
+
+#include <map>
+#include <string_view>
+#include <unordered_map>
+
+namespace filbertroad::submission::internal
+{
+
+/// Memory of a known key besides its payloads and answers, in bytes: the table nodes, the digest
+/// and the strings of the identity.
+inline constexpr std::size_t bytes_per_job = 320;
+
+/// Memory of a task besides its payload and answer, in bytes: the task, its answer and its history.
+inline constexpr std::size_t bytes_per_task = 320;
+
+class job_table
+{
+public:
+    /// Adds a job with content and `task_count` queued tasks. The identity must not be known.
+    job& add(model::job_id id, base::system_time created, std::string digest,
+             std::uint32_t task_count, std::string_view team);
+    [[nodiscard]] job* find(model::job_id const& id) const;
+    /// The job that a number of the scheduler refers to; null if it was forgotten.
+    [[nodiscard]] job* find_number(std::uint64_t number) const;
+    /// Jobs that have not ended, by serial.
+    [[nodiscard]] std::map<std::uint64_t, job*> const& open_jobs() const { return this->open; }
+    /// Every job by serial.
+    [[nodiscard]] std::vector<job*> in_order() const;
+
+    /// A new number of `owner` for the scheduler.
+    std::uint64_t add_number(job& owner);
+    void hold(job& owner, std::size_t bytes);
+    void release(job& owner, std::size_t bytes);
+
+    /// Ends the job. Its answers are dropped at `drop_at`, and the key stays known until
+    /// `forget_at` if that is later.
+    void end(job& ended, base::system_time at, base::system_time drop_at,
+             base::system_time forget_at);
+    /// Drops everything but the identity, the digest and the end.
+    void forget_answers(job& acknowledged);
+    void remove(job& removed);
+    /// Drops the answers and removes the ended jobs whose time has come.
+    void expire(base::system_time wall);
+
+    [[nodiscard]] std::size_t held_bytes() const { return this->bytes; }
+    [[nodiscard]] std::size_t size() const { return this->jobs.size(); }
+
+    /// A small number for the name of a target or team; equal names have equal numbers.
+    std::uint32_t number_of_name(std::string_view name);
+    [[nodiscard]] std::string const& name_of(std::uint32_t number) const;
+
+private:
+    std::unordered_map<model::job_id, std::unique_ptr<job>> jobs;
+    std::unordered_map<std::uint64_t, job*> numbers;
+    std::map<std::uint64_t, job*> open;
+    std::multimap<base::system_time, model::job_id> expiries;
+    /// Number 0 is the empty name, for history lines without a target.
+    std::map<std::string, std::uint32_t, std::less<>> name_numbers{{"", 0}};
+    std::vector<std::string> names{""};
+    std::uint64_t last_serial = 0;
+    std::uint64_t last_number = 0;
+    std::size_t bytes = 0;
+};
+
+} // namespace filbertroad::submission::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/submission/internal/recovery.cpp
@@ -0,0 +1,204 @@
+#include "filbertroad/submission/internal/recovery.hpp"
+
+#include "filbertroad/wire/process_ids.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertroad::submission::internal
+{
+namespace
+{
+
+bool contains(std::span<model::process_id const> ids, model::process_id const& id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+bool recovery::exclude(std::uint64_t view, std::span<model::process_id const> removed,
+                       agent_table const& agents, base::steady_time now)
+{
+    std::erase_if(this->rounds,
+                  [&](auto const& entry)
+                  {
+                      auto const& members = entry.second.removed;
+                      return std::none_of(members.begin(), members.end(),
+                                          [&](auto const& member)
+                                          { return contains(removed, member); });
+                  });
+    fence_round next;
+    for (auto const& member : removed)
+    {
+        auto const covered =
+            std::any_of(this->rounds.begin(), this->rounds.end(),
+                        [&](auto const& entry)
+                        { return entry.second.counts && contains(entry.second.removed, member); });
+        if (!covered)
+        {
+            next.removed.push_back(member);
+        }
+    }
+    if (next.removed.empty())
+    {
+        return false;
+    }
+    next.started = now;
+    for (auto const& [id, agent] : agents.all())
+    {
+        if (agent.known_to_log)
+        {
+            next.ledgers[id] = {};
+        }
+    }
+    this->rounds.insert_or_assign(view, std::move(next));
+    return true;
+}
+
+void recovery::ownership_lost()
+{
+    for (auto& [view, round] : this->rounds)
+    {
+        round.counts = false;
+    }
+}
+
+std::vector<wire::fence> recovery::fences_for(model::process_id const& agent)
+{
+    std::vector<wire::fence> fences;
+    for (auto& [view, round] : this->rounds)
+    {
+        auto const found = round.ledgers.find(agent);
+        if (round.counts && found != round.ledgers.end() &&
+            found->second.state != ledger_state::reported)
+        {
+            found->second.mentioned.clear();
+            found->second.asked = true;
+            fences.push_back(make_fence(view, round));
+        }
+    }
+    return fences;
+}
+
+std::vector<wire::fence> recovery::ask_again(std::uint64_t view, model::process_id const& agent)
+{
+    auto const round = this->rounds.find(view);
+    if (round == this->rounds.end())
+    {
+        return {};
+    }
+    auto& ledger = round->second.ledgers[agent];
+    ledger.mentioned.clear();
+    ledger.asked = true;
+    return {make_fence(view, round->second)};
+}
+
+bool recovery::is_excluded(model::process_id const& owner) const
+{
+    return std::any_of(this->rounds.begin(), this->rounds.end(),
+                       [&](auto const& entry) { return contains(entry.second.removed, owner); });
+}
+
+std::optional<std::set<task_identity>> recovery::answered(wire::ledger_report const& report)
+{
+    auto const round = this->rounds.find(report.view());
+    if (round == this->rounds.end())
+    {
+        return std::nullopt;
+    }
+    auto const found = round->second.ledgers.find(wire::to_model(report.agent()));
+    if (found == round->second.ledgers.end())
+    {
+        return std::nullopt;
+    }
+    auto& ledger = found->second;
+    if (!ledger.asked)
+    {
+        return std::nullopt;
+    }
+    for (auto const& entry : report.entries())
+    {
+        ledger.mentioned.insert({wire::job_of(entry.task()), entry.task().index()});
+    }
+    if (!report.last())
+    {
+        return std::nullopt;
+    }
+    ledger.state = ledger_state::reported;
+    ledger.asked = false;
+    return std::exchange(ledger.mentioned, {});
+}
+
+bool recovery::expire(agent_table const& agents, base::steady_time now)
+{
+    bool changed = false;
+    for (auto& [view, round] : this->rounds)
+    {
+        auto const timed_out = now - round.started >= this->times.fence_timeout;
+        for (auto& [id, ledger] : round.ledgers)
+        {
+            if (ledger.state == ledger_state::awaited && (timed_out || agents.replaced_by(id)))
+            {
+                ledger.state = ledger_state::lost;
+                changed = true;
+            }
+        }
+    }
+    return changed;
+}
+
+bool recovery::is_complete(bool after_ownership, base::steady_time now) const
+{
+    return std::all_of(
+        this->rounds.begin(), this->rounds.end(),
+        [&](auto const& entry)
+        {
+            auto const& round = entry.second;
+            if (!round.counts)
+            {
+                return true;
+            }
+            auto const settled =
+                after_ownership || now - round.started >= this->times.confirmation_max_age;
+            return settled && std::all_of(round.ledgers.begin(), round.ledgers.end(),
+                                          [](auto const& asked)
+                                          { return asked.second.state != ledger_state::awaited; });
+        });
+}
+
+bool recovery::is_in_doubt(base::system_time created, agent_table const& agents) const
+{
+    for (auto const& [view, round] : this->rounds)
+    {
+        for (auto const& [id, ledger] : round.ledgers)
+        {
+            if (!round.counts || ledger.state != ledger_state::lost)
+            {
+                continue;
+            }
+            // The agent was dead when its successor started, so it has not seen keys created after
+            // that. Both clocks may differ from the caller's.
+            auto const successor = agents.replaced_by(id);
+            if (!successor ||
+                created <= base::from_unix_ms(*successor) + 2 * this->times.clock_skew)
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+wire::fence recovery::make_fence(std::uint64_t view, fence_round const& round)
+{
+    wire::fence fence;
+    fence.set_view(view);
+    for (auto const& member : round.removed)
+    {
+        *fence.add_removed() = wire::to_wire(member);
+    }
+    return fence;
+}
+
+} // namespace filbertroad::submission::internal
--- a/filbertroad/submission/shard_owner.hpp
+++ b/filbertroad/submission/shard_owner.hpp
@@ -63,6 +63,11 @@
     std::vector<model::process_id> removed;
     /// Agents of the service that were registered within the key retention.
     std::vector<wire::agent> agents;
+    /// Those of `agents` that are no longer registered: they are asked for their ledgers, but get
+    /// no start, because later owners may not ask them any more.
+    std::vector<model::process_id> former_agents;
+    /// Number of shards of the service; ledger entries of other shards are left to their owners.
+    std::uint32_t shards = 1;
 };
 
 /// What the tables say about the route of a job.
@@ -132,6 +137,9 @@
 
     /// The view, the members or the agents changed.
     void set_ownership(ownership const& current, base::steady_time now, base::system_time wall);
+    /// A route moved to this service: keys created before now may be held by an owner of the
+    /// route's earlier service. A new owner and a new number of shards need no call.
+    void routes_changed(base::system_time wall);
     /// While false, no new key is accepted and no task is started.
     void set_confirmed(bool confirmed, base::steady_time now);
     void set_teams(std::span<scheduling::team_limits const> teams);
@@ -182,13 +190,14 @@
 
     /// For a planned stop: true when no job is queued or running.
     [[nodiscard]] bool is_idle() const;
-    /// The ended jobs with answers that are still kept, to be passed to the new owner.
+    /// The ended jobs, with the answers that are still kept, to be passed to the new owner. Returns
+    /// about 16 MiB at a time; call again until it returns no job. The jobs stay known here.
     [[nodiscard]] wire::handover take_handover();
     void accept_handover(wire::handover const& jobs, base::steady_time now, base::system_time wall);
 
     [[nodiscard]] wire::queue_status queue_status() const;
     [[nodiscard]] std::vector<wire::target_status> target_status() const;
-    /// Bytes of payloads and answers held.
+    /// Bytes of payloads and answers held, with an estimate for the tables around them.
     [[nodiscard]] std::size_t held_bytes() const;
 
 private:
--- /dev/null
+++ b/filbertroad/submission/shard_owner_test.cpp
@@ -0,0 +1,497 @@
+#include "filbertroad/submission/shard_owner.hpp"
+
+#include "filbertroad/base/hash.hpp"
+#include "filbertroad/submission/internal/task_lifecycle.hpp"
+#include "filbertroad/wire/process_ids.hpp"
+
+#include <gtest/gtest.h>
+#include <iterator>
+
+namespace filbertroad::submission
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+model::process_id const self{"e1", 10};
+model::process_id const peer{"e2", 20};
+model::process_id const dead{"e3", 30};
+
+class shard_owner_test : public testing::Test
+{
+protected:
+    shard_owner_test()
+    {
+        this->owned.view = 1;
+        this->owned.is_owner = true;
+        this->add_agent("a1", 1);
+        this->owner.set_confirmed(true, this->clock.steady_now());
+        this->apply_ownership();
+        this->owner.agent_linked(this->hello("a1", 1), this->clock.steady_now());
+        this->pass(seconds(20));
+    }
+
+    void add_agent(std::string const& name, std::uint64_t incarnation)
+    {
+        auto& agent = this->owned.agents.emplace_back();
+        *agent.mutable_id() = wire::to_wire(model::process_id{name, incarnation});
+        agent.set_zone("z");
+    }
+
+    static wire::agent_hello hello(std::string const& name, std::uint64_t incarnation)
+    {
+        wire::agent_hello hello;
+        *hello.mutable_id() = wire::to_wire(model::process_id{name, incarnation});
+        hello.set_zone("z");
+        hello.mutable_target()->set_name("t-" + name);
+        hello.mutable_target()->set_slots(4);
+        hello.mutable_target()->set_reachable(true);
+        return hello;
+    }
+
+    void apply_ownership()
+    {
+        this->owner.set_ownership(this->owned, this->clock.steady_now(), this->clock.system_now());
+    }
+
+    /// Removes `dead` and gives the shard to this owner in a new view.
+    void remove_dead()
+    {
+        ++this->owned.view;
+        this->owned.removed = {dead};
+        this->apply_ownership();
+    }
+
+    void pass(std::chrono::nanoseconds time)
+    {
+        this->clock.advance(time);
+        this->owner.tick(this->clock.steady_now(), this->clock.system_now());
+    }
+
+    std::string key(std::string const& suffix) const
+    {
+        return std::to_string(base::to_unix_ms(this->clock.system_now())) + "-" + suffix;
+    }
+
+    static wire::submit_request request(std::string const& key, int tasks,
+                                        std::string const& body = "body")
+    {
+        wire::submit_request request;
+        auto& job = *request.mutable_job();
+        job.set_route("r");
+        job.set_key(key);
+        job.set_team("team");
+        for (int i = 0; i < tasks; ++i)
+        {
+            job.add_tasks()->set_payload(body + std::to_string(i));
+        }
+        job.set_digest(base::sha256(body));
+        return request;
+    }
+
+    void submit(wire::submit_request const& request)
+    {
+        this->owner.submit(++this->last_request, request, {}, this->clock.steady_now(),
+                           this->clock.system_now());
+    }
+
+    template <class Action>
+    std::vector<Action> take()
+    {
+        for (auto& action : this->owner.take_actions())
+        {
+            this->actions.push_back(std::move(action));
+        }
+        std::vector<Action> found;
+        std::vector<action> rest;
+        for (auto& action : this->actions)
+        {
+            if (auto* const typed = std::get_if<Action>(&action))
+            {
+                found.push_back(std::move(*typed));
+            }
+            else
+            {
+                rest.push_back(std::move(action));
+            }
+        }
+        this->actions = std::move(rest);
+        return found;
+    }
+
+    /// The only reply since the last call.
+    template <class Answer>
+    Answer reply_of()
+    {
+        auto const replies = this->take<reply>();
+        EXPECT_EQ(replies.size(), 1U);
+        auto const* const answer =
+            replies.empty() ? nullptr : std::get_if<Answer>(&replies.back().answer);
+        EXPECT_NE(answer, nullptr);
+        return answer == nullptr ? Answer{} : *answer;
+    }
+
+    wire::job_report state_of(std::string const& key)
+    {
+        this->take<reply>();
+        this->owner.query(++this->last_request, this->query_of(key), this->clock.steady_now(),
+                          this->clock.system_now());
+        return this->reply_of<wire::job_report>();
+    }
+
+    static wire::job_query query_of(std::string const& key)
+    {
+        wire::job_query query;
+        query.set_route("r");
+        query.set_key(key);
+        query.set_team("team");
+        query.set_with_history(true);
+        return query;
+    }
+
+    static wire::task_result success(wire::task_ref const& task)
+    {
+        wire::task_result result;
+        *result.mutable_task() = task;
+        result.set_outcome(wire::outcome_succeeded);
+        result.set_body("answer " + std::to_string(task.index()));
+        return result;
+    }
+
+    void finish(model::process_id const& agent, wire::task_ref const& task)
+    {
+        this->owner.task_finished(agent, success(task), this->clock.steady_now(),
+                                  this->clock.system_now());
+    }
+
+    void refuse(model::process_id const& agent, wire::task_ref const& task, wire::refusal reason)
+    {
+        wire::start_refused refused;
+        *refused.mutable_task() = task;
+        refused.set_reason(reason);
+        this->owner.start_refused(agent, refused, this->clock.steady_now());
+    }
+
+    wire::ledger_entry entry(std::string const& key, std::uint32_t index, bool finished) const
+    {
+        wire::ledger_entry entry;
+        *entry.mutable_task() = wire::make_task_ref({"r", key}, index);
+        entry.set_job_digest(base::sha256("body"));
+        entry.set_task_count(3);
+        *entry.mutable_owner() = wire::to_wire(dead);
+        entry.set_team("team");
+        if (finished)
+        {
+            *entry.mutable_result() = success(entry.task());
+        }
+        return entry;
+    }
+
+    void report_ledger(std::vector<wire::ledger_entry> const& entries)
+    {
+        wire::ledger_report report;
+        report.set_view(this->owned.view);
+        *report.mutable_agent() = wire::to_wire(this->agent);
+        report.mutable_entries()->Add(entries.begin(), entries.end());
+        report.set_last(true);
+        this->owner.ledger_reported(report, this->clock.steady_now(), this->clock.system_now());
+    }
+
+    model::process_id agent{"a1", 1};
+    base::manual_clock clock;
+    ownership owned;
+    shard_owner owner{self, "svc", 0, {}, scheduling::scheduler::builder().build()};
+    std::vector<action> actions;
+    std::uint64_t last_request = 0;
+};
+
+// Guards against a transition table that lets an uncertain task be sent again.
+TEST(task_lifecycle, leads_back_to_the_queue_only_from_starts_that_did_not_reach_the_target)
+{
+    using internal::next_state;
+    using internal::task_event;
+    using internal::task_state;
+    for (std::size_t s = 0; s < internal::task_state_count; ++s)
+    {
+        for (std::size_t e = 0; e < internal::task_event_count; ++e)
+        {
+            auto const state = static_cast<task_state>(s);
+            auto const event = static_cast<task_event>(e);
+            auto const is_return =
+                event == task_event::refused || event == task_event::not_received;
+            auto const allowed = (internal::is_at_agent(state) && is_return) ||
+                                 (state == task_state::interrupted && event == task_event::resumed);
+            EXPECT_EQ(next_state(state, event) == task_state::queued, allowed) << s << " " << e;
+        }
+    }
+    EXPECT_EQ(next_state(task_state::queued, task_event::dispatched), task_state::sent);
+    EXPECT_EQ(next_state(task_state::lost, task_event::succeeded), task_state::succeeded);
+}
+
+// Guards against a second body that runs under a used key.
+TEST_F(shard_owner_test, refuses_another_body_under_a_used_key_without_a_start)
+{
+    auto const key = this->key("k");
+    this->submit(request(key, 2));
+    EXPECT_EQ(this->take<send_start>().size(), 2U);
+    this->take<reply>();
+    this->submit(request(key, 2, "other"));
+    auto const error = this->reply_of<wire::request_error>();
+    EXPECT_EQ(error.code(), "key_reused");
+    EXPECT_TRUE(this->take<send_start>().empty());
+}
+
+// Guards against answers that are incomplete, doubled or changed by late duplicates.
+TEST_F(shard_owner_test, answers_a_waiting_submission_once_with_every_task)
+{
+    auto waiting = request(this->key("k"), 3);
+    waiting.set_wait_ms(60000);
+    this->submit(waiting);
+    auto const starts = this->take<send_start>();
+    ASSERT_EQ(starts.size(), 3U);
+    for (auto const& start : starts)
+    {
+        EXPECT_TRUE(this->take<reply>().empty());
+        this->finish(this->agent, start.start.task());
+        this->finish(this->agent, start.start.task());
+    }
+    auto const report = this->reply_of<wire::job_report>();
+    EXPECT_EQ(report.state(), wire::job_state_complete);
+    ASSERT_EQ(report.results_size(), 3);
+    for (int i = 0; i < 3; ++i)
+    {
+        EXPECT_EQ(report.results(i).body(), "answer " + std::to_string(i));
+    }
+    std::size_t acknowledged = 0;
+    for (auto const& sent : this->take<send_finished_ack>())
+    {
+        acknowledged += static_cast<std::size_t>(sent.ack.tasks_size());
+    }
+    EXPECT_EQ(acknowledged, 6U);
+}
+
+// Guards against starts by an owner that may have been replaced, or on agents that a later owner
+// would not ask.
+TEST_F(shard_owner_test, starts_only_while_confirmed_and_on_registered_agents)
+{
+    this->owner.agent_linked(hello("a2", 1), this->clock.steady_now());
+    this->owned.former_agents = {this->agent};
+    this->apply_ownership();
+    this->submit(request(this->key("k"), 1));
+    EXPECT_TRUE(this->take<send_start>().empty()) << "an unregistered agent got a start";
+    this->owner.set_confirmed(false, this->clock.steady_now());
+    this->add_agent("a2", 1);
+    this->apply_ownership();
+    this->pass(milliseconds(50));
+    EXPECT_TRUE(this->take<send_start>().empty()) << "an unconfirmed owner sent a start";
+    this->take<reply>();
+    this->submit(request(this->key("unconfirmed"), 1));
+    EXPECT_EQ(this->reply_of<wire::request_error>().not_run(), "unknown");
+    this->owner.set_confirmed(true, this->clock.steady_now());
+    auto const starts = this->take<send_start>();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].agent.name, "a2");
+}
+
+// Guards against a start that is sent again although the agent has it, and one that is forgotten.
+TEST_F(shard_owner_test, settles_sent_tasks_by_the_next_hello)
+{
+    auto const key = this->key("k");
+    this->submit(request(key, 3));
+    ASSERT_EQ(this->take<send_start>().size(), 3U);
+    this->owner.agent_unlinked(this->agent, this->clock.steady_now());
+    auto again = hello("a1", 1);
+    *again.add_open() = this->entry(key, 0, true);
+    *again.add_open() = this->entry(key, 1, false);
+    this->owner.agent_linked(again, this->clock.steady_now());
+    this->pass(seconds(4));
+    auto const starts = this->take<send_start>();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].start.task().index(), 2U);
+    // The refusal of the first sending arrives on the new link.
+    this->refuse(this->agent, starts[0].start.task(), wire::refusal_stale_link);
+    this->pass(seconds(4));
+    EXPECT_TRUE(this->take<send_start>().empty());
+    EXPECT_EQ(this->state_of(key).finished(), 1U);
+}
+
+// Guards against tasks that are started again after the loss of the agent that had them.
+TEST_F(shard_owner_test, loses_sent_tasks_with_the_incarnation_or_after_the_timeout)
+{
+    for (auto const restarted : {true, false})
+    {
+        auto const key = this->key(restarted ? "restarted" : "silent");
+        this->submit(request(key, 1));
+        auto const starts = this->take<send_start>();
+        ASSERT_EQ(starts.size(), 1U);
+        auto const old = this->agent;
+        this->owner.agent_unlinked(old, this->clock.steady_now());
+        if (restarted)
+        {
+            this->add_agent("a1", 2);
+            this->apply_ownership();
+            this->agent = {"a1", 2};
+            this->owner.agent_linked(hello("a1", 2), this->clock.steady_now());
+        }
+        this->pass(restarted ? seconds(4) : seconds(10));
+        EXPECT_EQ(this->state_of(key).results(0).outcome(), wire::outcome_may_have_run);
+        this->finish(old, starts[0].start.task());
+        EXPECT_EQ(this->state_of(key).results(0).outcome(), wire::outcome_may_have_run);
+        EXPECT_TRUE(this->take<send_start>().empty());
+    }
+}
+
+// Guards against accepting a key that another member holds.
+TEST_F(shard_owner_test, asks_other_members_before_it_accepts_a_key_that_is_not_fresh)
+{
+    ++this->owned.view;
+    this->owned.other_members = {peer};
+    this->apply_ownership();
+    auto const key = this->key("k");
+    this->submit(request(key, 1));
+    auto lookups = this->take<send_lookup>();
+    ASSERT_EQ(lookups.size(), 1U);
+    wire::lookup_reply not_current;
+    this->owner.lookup_answered(peer, lookups[0].lookup, not_current, this->clock.steady_now());
+    this->pass(milliseconds(200));
+    EXPECT_TRUE(this->take<reply>().empty());
+    lookups = this->take<send_lookup>();
+    ASSERT_EQ(lookups.size(), 1U) << "an older view is no answer";
+    wire::lookup_reply held;
+    held.set_held(true);
+    this->owner.lookup_answered(peer, lookups[0].lookup, held, this->clock.steady_now());
+    ASSERT_EQ(this->take<forward>().size(), 1U);
+    this->submit(request(this->key("other"), 1));
+    this->pass(seconds(6));
+    EXPECT_EQ(this->reply_of<wire::request_error>().not_run(), "unknown");
+    EXPECT_TRUE(this->take<send_start>().empty());
+}
+
+// Guards against a second start of tasks that a removed owner has started.
+TEST_F(shard_owner_test, starts_only_the_rest_of_a_recovered_job)
+{
+    auto const key = this->key("k");
+    this->remove_dead();
+    ASSERT_EQ(this->take<send_fence>().size(), 1U);
+    this->submit(request(key, 3));
+    EXPECT_TRUE(this->take<send_start>().empty());
+    this->report_ledger({this->entry(key, 0, true), this->entry(key, 1, false)});
+    EXPECT_TRUE(this->take<send_start>().empty()) << "the removed owner may still be confirmed";
+    this->pass(seconds(2));
+    auto const starts = this->take<send_start>();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].start.task().index(), 2U);
+    this->finish(this->agent, starts[0].start.task());
+    this->finish(this->agent, wire::make_task_ref({"r", key}, 1));
+    EXPECT_EQ(this->state_of(key).state(), wire::job_state_complete);
+}
+
+// Guards against jobs that never end because their caller is gone.
+TEST_F(shard_owner_test, ends_an_interrupted_job_after_the_recovery_wait)
+{
+    auto const key = this->key("k");
+    this->remove_dead();
+    this->report_ledger({this->entry(key, 0, true)});
+    this->pass(seconds(30));
+    EXPECT_EQ(this->state_of(key).state(), wire::job_state_interrupted);
+    this->pass(seconds(31));
+    auto const report = this->state_of(key);
+    EXPECT_EQ(report.state(), wire::job_state_failed);
+    EXPECT_EQ(report.results(0).body(), "answer 0");
+    EXPECT_EQ(report.results(1).outcome(), wire::outcome_not_run);
+}
+
+// Guards against a start that a lost ledger may hold already.
+TEST_F(shard_owner_test, fails_a_job_as_uncertain_when_an_agent_does_not_answer_the_fence)
+{
+    auto const key = this->key("k");
+    this->remove_dead();
+    this->submit(request(key, 2));
+    this->pass(seconds(4));
+    auto const report = this->reply_of<wire::job_report>();
+    EXPECT_EQ(report.state(), wire::job_state_failed);
+    EXPECT_EQ(report.results(0).outcome(), wire::outcome_may_have_run);
+    EXPECT_TRUE(this->take<send_start>().empty());
+}
+
+// Guards against a cancelled task that is started because its first start was refused.
+TEST_F(shard_owner_test, does_not_send_a_cancelled_task_again)
+{
+    auto const key = this->key("k");
+    this->submit(request(key, 1));
+    auto const starts = this->take<send_start>();
+    ASSERT_EQ(starts.size(), 1U);
+    this->owner.cancel(++this->last_request, query_of(key), this->clock.steady_now(),
+                       this->clock.system_now());
+    EXPECT_EQ(this->take<send_cancel>().size(), 1U);
+    this->refuse(this->agent, starts[0].start.task(), wire::refusal_no_slot);
+    this->pass(seconds(5));
+    EXPECT_EQ(this->state_of(key).results(0).outcome(), wire::outcome_not_run);
+    EXPECT_TRUE(this->take<send_start>().empty());
+}
+
+// Guards against unbounded memory and against answers dropped to save it.
+TEST_F(shard_owner_test, refuses_jobs_over_the_memory_bound_and_keeps_answers)
+{
+    auto const first = this->key("first");
+    this->submit(request(first, 1, std::string(1000, 'x')));
+    auto const starts = this->take<send_start>();
+    this->finish(this->agent, starts.at(0).start.task());
+    wire::request_error error;
+    for (int i = 0; i < 10 && error.code().empty(); ++i)
+    {
+        this->take<reply>();
+        this->submit(request(this->key(std::to_string(i)), 1, std::string(30UL << 20U, 'x')));
+        auto const replies = this->take<reply>();
+        if (auto const* const refused = std::get_if<wire::request_error>(&replies.at(0).answer))
+        {
+            error = *refused;
+        }
+    }
+    EXPECT_EQ(error.not_run(), "yes");
+    EXPECT_LE(this->owner.held_bytes(), owner_options{}.max_bytes);
+    EXPECT_EQ(this->state_of(first).results_size(), 1);
+}
+
+// Guards against answers lost with an owner that leaves, and against a second run of their keys.
+TEST_F(shard_owner_test, passes_answers_and_acknowledged_keys_to_the_new_owner)
+{
+    auto const kept = this->key("kept");
+    auto const acknowledged = this->key("acknowledged");
+    for (auto const& key : {kept, acknowledged})
+    {
+        this->submit(request(key, 1));
+        this->finish(this->agent, this->take<send_start>().at(0).start.task());
+    }
+    this->owner.acknowledge(++this->last_request, query_of(acknowledged), this->clock.steady_now(),
+                            this->clock.system_now());
+    auto const handover = this->owner.take_handover();
+    EXPECT_EQ(this->owner.take_handover().jobs_size(), 0);
+    shard_owner next{peer, "svc", 0, {}, scheduling::scheduler::builder().build()};
+    next.set_confirmed(true, this->clock.steady_now());
+    next.set_ownership(this->owned, this->clock.steady_now(), this->clock.system_now());
+    next.accept_handover(handover, this->clock.steady_now(), this->clock.system_now());
+    std::swap(this->owner, next);
+    this->take<reply>();
+    EXPECT_EQ(this->state_of(kept).results(0).body(), "answer 0");
+    this->submit(request(acknowledged, 1));
+    EXPECT_EQ(this->reply_of<wire::request_error>().code(), "acknowledged");
+}
+
+// Guards against one team that reads the answers of another.
+TEST_F(shard_owner_test, refuses_the_query_of_another_team)
+{
+    auto const key = this->key("k");
+    this->submit(request(key, 1));
+    this->take<reply>();
+    auto query = query_of(key);
+    query.set_team("other");
+    this->owner.query(++this->last_request, query, this->clock.steady_now(),
+                      this->clock.system_now());
+    EXPECT_EQ(this->reply_of<wire::request_error>().code(), "wrong_team");
+}
+
+} // namespace
+} // namespace filbertroad::submission
