Add the entry's links, control controller, shards and request router

Cause: the decision libraries need processes that join them. Change: server/entry_links, peer_requests, control_controller, shard_registry, request_router, entry_core, entry_process; each service shard has its own lock, a hello is applied once per link so that tasks sent after it are not queued again.

--- /dev/null
+++ b/filbertroad/server/entry_core.hpp
@@ -0,0 +1,109 @@
+#ifndef FILBERTROAD_SERVER_ENTRY_CORE_HPP
+#define FILBERTROAD_SERVER_ENTRY_CORE_HPP
+
+/// The parts of an entry without its HTTP front end: control state, links, shards and the router,
+/// joined by their events.
+///
+///     entry_core core(io, settings, clock, log, spans);
+///     core.listen();
+///     core.start();
+///     core.router().handle(request, respond);
+///
+/// Safe for several threads after start().
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/server/control_controller.hpp"
+#include "filbertroad/server/entry_links.hpp"
+#include "filbertroad/server/peer_requests.hpp"
+#include "filbertroad/server/request_router.hpp"
+#include "filbertroad/server/shard_registry.hpp"
+#include "filbertroad/server/span_recorder.hpp"
+#include "filbertroad/settings/settings.hpp"
+#include "filbertroad/telemetry/event_log.hpp"
+#include "filbertroad/telemetry/metrics.hpp"
+#include "filbertroad/telemetry/span_writer.hpp"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <vector>
+
+namespace filbertroad::server
+{
+
+class entry_core
+{
+public:
+    entry_core(boost::asio::io_context& io, settings::entry_settings const& settings,
+               base::clock const& clock, telemetry::event_log& log, telemetry::span_writer& spans);
+
+    /// Binds the address for links.
+    base::result<void, base::error<net::net_error>> listen();
+    void start();
+    void stop();
+    /// Runs what depends on time. Call every 20 ms.
+    void tick();
+
+    [[nodiscard]] control_controller& control() { return this->control_state; }
+    [[nodiscard]] shard_registry& shards() { return this->shard_objects; }
+    [[nodiscard]] request_router& router() { return this->requests; }
+    [[nodiscard]] span_recorder& spans() { return this->recorder; }
+    [[nodiscard]] telemetry::metrics_registry& metrics() { return this->metric_values; }
+    [[nodiscard]] base::clock const& time() const { return this->clock; }
+    [[nodiscard]] wire::member const& self() const { return this->self_member; }
+
+    /// The status of this entry.
+    [[nodiscard]] wire::status_reply status() const;
+    /// The status of all members that answer within 500 ms, this one first.
+    void collect_status(std::function<void(std::vector<wire::status_reply>)> handler);
+
+    [[nodiscard]] bool is_member() const;
+    /// The state says that this entry is leaving.
+    [[nodiscard]] bool is_leaving() const;
+    /// Passes the kept answers of all shards to their new owners.
+    void start_handover();
+    [[nodiscard]] bool is_handover_done() const { return this->handovers_open == 0; }
+
+private:
+    entry_link_events link_events();
+    control_events state_events();
+    shard_senders senders();
+
+    void agent_linked(linked_agent const& agent);
+    void agent_unlinked(model::process_id const& agent, std::uint64_t link);
+    void agent_message(model::process_id const& agent, std::uint64_t link,
+                       wire::link_message& message);
+    void entry_request(model::process_id const& entry, wire::request const& request);
+    void respond(model::process_id const& entry, std::uint64_t id, wire::response response);
+    void state_changed(state_ptr const& state, control::applied const& applied);
+    void probe_members();
+    void fetch_state(model::process_id const& entry);
+    void ask_lookup(shard_id const& id, model::process_id const& member,
+                    wire::lookup const& lookup);
+    void send_handover(model::process_id const& owner, wire::handover part);
+    void log_record(wire::control_record const& record, std::uint64_t offset,
+                    control::applied const& applied);
+    void log_confirmation(control::confirmation_source source);
+    void update_metrics();
+
+    boost::asio::io_context& io;
+    settings::entry_settings settings;
+    base::clock const& clock;
+    telemetry::event_log& log;
+    wire::member self_member;
+    model::process_id self_id;
+    telemetry::metrics_registry metric_values;
+    span_recorder recorder;
+    net::http_log_client log_service;
+    entry_links links;
+    peer_requests peers;
+    shard_registry shard_objects;
+    control_controller control_state;
+    request_router requests;
+    std::atomic<int> handovers_open{0};
+    std::atomic<std::int64_t> next_slow_tick_ns{0};
+};
+
+} // namespace filbertroad::server
+
+#endif
--- /dev/null
+++ b/filbertroad/server/entry_links.cpp
@@ -0,0 +1,469 @@
+#include "filbertroad/server/entry_links.hpp"
+
+#include "filbertroad/wire/process_ids.hpp"
+
+#include <utility>
+
+namespace filbertroad::server
+{
+
+using lock_guard = std::lock_guard<std::mutex>;
+
+entry_links::entry_links(boost::asio::io_context& io, base::clock const& clock, wire::member self,
+                         entry_link_events events)
+    : io(io), clock(clock), self(std::move(self)), events(std::move(events))
+{
+}
+
+base::result<void, base::error<net::net_error>> entry_links::listen(std::string_view address)
+{
+    auto listening = net::link_server::listen(this->io, address, this->handlers(""));
+    if (!listening)
+    {
+        return std::move(listening).error();
+    }
+    this->server = std::move(listening).value();
+    return base::success();
+}
+
+net::link_handlers entry_links::handlers(std::string dialled)
+{
+    return {
+        .on_open = [this, dialled](link_ptr const& link) { this->opened(link, dialled); },
+        .on_message = [this](link_ptr const& link, wire::link_message& message)
+        { this->received(link, message); },
+        .on_closed = [this, dialled](link_ptr const& link, base::error<net::net_error> const& error)
+        { this->closed(link, dialled, error.detail); },
+    };
+}
+
+void entry_links::connect_members(std::span<wire::member const> members)
+{
+    lock_guard const guard(this->lock);
+    std::map<std::string, dialled_address> wanted;
+    for (auto const& member : members)
+    {
+        if (this->self.id().name() < member.id().name())
+        {
+            wanted[member.link_address()] = this->addresses[member.link_address()];
+        }
+    }
+    this->addresses = std::move(wanted);
+}
+
+void entry_links::connect_seeds(std::vector<std::string> const& seeds)
+{
+    lock_guard const guard(this->lock);
+    for (auto const& address : seeds)
+    {
+        if (address != this->self.link_address())
+        {
+            this->addresses.try_emplace(address);
+        }
+    }
+}
+
+void entry_links::dial_due(base::steady_time now)
+{
+    std::vector<std::string> due;
+    {
+        lock_guard const guard(this->lock);
+        for (auto& [address, state] : this->addresses)
+        {
+            if (!state.active && state.not_before <= now && !this->stopping)
+            {
+                state.active = true;
+                due.push_back(address);
+            }
+        }
+    }
+    for (auto const& address : due)
+    {
+        net::link::connect(this->io, address, this->handlers(address));
+    }
+}
+
+void entry_links::tick()
+{
+    auto const now = this->clock.steady_now();
+    this->dial_due(now);
+    std::vector<link_ptr> silent;
+    std::vector<link_ptr> pinged;
+    {
+        lock_guard const guard(this->lock);
+        bool const ping_due = now >= this->next_ping;
+        for (auto const& [number, connection] : this->connections)
+        {
+            if (now - connection.heard > silence_limit)
+            {
+                silent.push_back(connection.link);
+            }
+            else if (ping_due && connection.entry)
+            {
+                pinged.push_back(connection.link);
+            }
+        }
+        if (ping_due)
+        {
+            this->next_ping = now + ping_interval;
+        }
+    }
+    wire::link_message ping;
+    ping.mutable_ping()->set_sent_steady_ns(
+        static_cast<std::uint64_t>(now.time_since_epoch().count()));
+    for (auto const& link : pinged)
+    {
+        link->send(ping);
+    }
+    for (auto const& link : silent)
+    {
+        link->close();
+    }
+}
+
+void entry_links::stop()
+{
+    std::vector<link_ptr> open;
+    {
+        lock_guard const guard(this->lock);
+        this->stopping = true;
+        for (auto const& [number, connection] : this->connections)
+        {
+            open.push_back(connection.link);
+        }
+    }
+    if (this->server)
+    {
+        this->server->stop();
+    }
+    for (auto const& link : open)
+    {
+        link->close();
+    }
+}
+
+void entry_links::opened(link_ptr const& link, std::string const& dialled)
+{
+    {
+        lock_guard const guard(this->lock);
+        this->connections[link->number()] =
+            connection{link, this->clock.steady_now(), std::nullopt, std::nullopt, dialled};
+    }
+    if (!dialled.empty())
+    {
+        wire::link_message hello;
+        *hello.mutable_entry_hello()->mutable_entry() = this->self;
+        link->send(hello);
+    }
+}
+
+void entry_links::received(link_ptr const& link, wire::link_message& message)
+{
+    std::optional<model::process_id> agent;
+    std::optional<model::process_id> entry;
+    {
+        lock_guard const guard(this->lock);
+        auto const found = this->connections.find(link->number());
+        if (found == this->connections.end())
+        {
+            return;
+        }
+        found->second.heard = this->clock.steady_now();
+        if (found->second.agent)
+        {
+            agent = wire::to_model(found->second.agent->id());
+        }
+        else if (found->second.entry)
+        {
+            entry = wire::to_model(found->second.entry->id());
+        }
+    }
+    if (agent)
+    {
+        this->dispatch_from_agent(link, *agent, message);
+    }
+    else if (entry)
+    {
+        this->dispatch_from_entry(link, *entry, message);
+    }
+    else if (message.has_agent_hello())
+    {
+        this->agent_hello_received(link, message.agent_hello());
+    }
+    else if (message.has_entry_hello())
+    {
+        wire::link_message welcome;
+        *welcome.mutable_welcome()->mutable_entry() = this->self;
+        link->send(welcome);
+        this->entry_hello_received(link, message.entry_hello().entry());
+    }
+    else if (message.has_welcome())
+    {
+        this->entry_hello_received(link, message.welcome().entry());
+    }
+    else
+    {
+        this->events.link_error("message before the hello");
+        link->close();
+    }
+}
+
+void entry_links::agent_hello_received(link_ptr const& link, wire::agent_hello const& hello)
+{
+    auto const id = wire::to_model(hello.id());
+    link_ptr replaced;
+    {
+        lock_guard const guard(this->lock);
+        this->connections[link->number()].agent = hello;
+        auto& current = this->agents[id];
+        replaced = std::exchange(current, link);
+        if (replaced)
+        {
+            // Messages that are still on the old link must not be taken for news of the new one.
+            this->connections.erase(replaced->number());
+        }
+    }
+    if (replaced)
+    {
+        replaced->close();
+    }
+    wire::link_message welcome;
+    *welcome.mutable_welcome()->mutable_entry() = this->self;
+    link->send(welcome);
+    wire::link_message state;
+    *state.mutable_state() = this->events.make_agent_state();
+    link->send(state);
+    this->events.agent_linked({hello, link->number()});
+}
+
+void entry_links::entry_hello_received(link_ptr const& link, wire::member const& entry)
+{
+    auto const id = wire::to_model(entry.id());
+    {
+        lock_guard const guard(this->lock);
+        this->connections[link->number()].entry = entry;
+        this->entries[id] = link;
+    }
+    this->events.entry_heard(id);
+    this->events.entry_linked(entry);
+}
+
+void entry_links::target_received(link_ptr const& link, model::process_id const& agent,
+                                  wire::link_message& message)
+{
+    std::optional<wire::agent_hello> first;
+    {
+        lock_guard const guard(this->lock);
+        auto const found = this->connections.find(link->number());
+        if (found == this->connections.end() || !found->second.agent)
+        {
+            return;
+        }
+        bool const was_known = !found->second.agent->target().service().empty();
+        *found->second.agent->mutable_target() = message.target();
+        if (!was_known && !message.target().service().empty())
+        {
+            first = found->second.agent;
+        }
+    }
+    if (first)
+    {
+        this->events.agent_linked({*first, link->number()});
+    }
+    else
+    {
+        this->events.agent_message(agent, link->number(), message);
+    }
+}
+
+void entry_links::dispatch_from_agent(link_ptr const& link, model::process_id const& agent,
+                                      wire::link_message& message)
+{
+    if (message.has_ping())
+    {
+        this->answer_ping(link, message.ping());
+    }
+    else if (message.has_target())
+    {
+        this->target_received(link, agent, message);
+    }
+    else
+    {
+        this->events.agent_message(agent, link->number(), message);
+    }
+}
+
+void entry_links::dispatch_from_entry(link_ptr const& link, model::process_id const& entry,
+                                      wire::link_message& message)
+{
+    this->events.entry_heard(entry);
+    if (message.has_ping())
+    {
+        this->answer_ping(link, message.ping());
+    }
+    else if (message.has_request())
+    {
+        this->events.entry_request(entry, message.request());
+    }
+    else if (message.has_response())
+    {
+        this->events.entry_response(entry, *message.mutable_response());
+    }
+}
+
+void entry_links::answer_ping(link_ptr const& link, wire::ping const& ping)
+{
+    wire::link_message answer;
+    *answer.mutable_pong() = this->events.make_pong();
+    answer.mutable_pong()->set_echoed_steady_ns(ping.sent_steady_ns());
+    link->send(answer);
+}
+
+void entry_links::closed(link_ptr const& link, std::string const& dialled,
+                         std::string const& detail)
+{
+    std::optional<model::process_id> agent;
+    std::optional<model::process_id> entry;
+    {
+        lock_guard const guard(this->lock);
+        auto const counters = link->counters();
+        this->closed_counters.messages_sent += counters.messages_sent;
+        this->closed_counters.messages_received += counters.messages_received;
+        this->closed_counters.bytes_sent += counters.bytes_sent;
+        this->closed_counters.bytes_received += counters.bytes_received;
+        if (auto const found = this->connections.find(link->number());
+            found != this->connections.end())
+        {
+            if (found->second.agent)
+            {
+                agent = wire::to_model(found->second.agent->id());
+                this->agents.erase(*agent);
+            }
+            if (found->second.entry)
+            {
+                auto const id = wire::to_model(found->second.entry->id());
+                if (auto const current = this->entries.find(id);
+                    current != this->entries.end() && current->second == link)
+                {
+                    this->entries.erase(current);
+                    entry = id;
+                }
+            }
+            this->connections.erase(found);
+        }
+        if (auto const address = this->addresses.find(dialled); address != this->addresses.end())
+        {
+            address->second = {false, this->clock.steady_now() + reconnect_interval};
+        }
+    }
+    if (agent)
+    {
+        this->events.agent_unlinked(*agent, link->number());
+    }
+    if (entry)
+    {
+        this->events.entry_unlinked(*entry);
+    }
+    if (agent || entry)
+    {
+        this->events.link_error(detail);
+    }
+}
+
+bool entry_links::send_to_agent(model::process_id const& agent, wire::link_message const& message)
+{
+    link_ptr link;
+    {
+        lock_guard const guard(this->lock);
+        if (auto const found = this->agents.find(agent); found != this->agents.end())
+        {
+            link = found->second;
+        }
+    }
+    if (link)
+    {
+        link->send(message);
+    }
+    return link != nullptr;
+}
+
+bool entry_links::send_to_entry(model::process_id const& entry, wire::link_message const& message)
+{
+    link_ptr link;
+    {
+        lock_guard const guard(this->lock);
+        if (auto const found = this->entries.find(entry); found != this->entries.end())
+        {
+            link = found->second;
+        }
+    }
+    if (link)
+    {
+        link->send(message);
+    }
+    return link != nullptr;
+}
+
+void entry_links::send_to_all_agents(wire::link_message const& message)
+{
+    std::vector<link_ptr> links;
+    {
+        lock_guard const guard(this->lock);
+        for (auto const& [id, link] : this->agents)
+        {
+            links.push_back(link);
+        }
+    }
+    for (auto const& link : links)
+    {
+        link->send(message);
+    }
+}
+
+std::vector<model::process_id> entry_links::linked_entries() const
+{
+    lock_guard const guard(this->lock);
+    std::vector<model::process_id> result;
+    for (auto const& [id, link] : this->entries)
+    {
+        result.push_back(id);
+    }
+    return result;
+}
+
+std::vector<linked_agent> entry_links::linked_agents() const
+{
+    lock_guard const guard(this->lock);
+    std::vector<linked_agent> result;
+    for (auto const& [number, connection] : this->connections)
+    {
+        if (connection.agent)
+        {
+            result.push_back({*connection.agent, number});
+        }
+    }
+    return result;
+}
+
+std::size_t entry_links::linked_agent_count() const
+{
+    lock_guard const guard(this->lock);
+    return this->agents.size();
+}
+
+net::link_counters entry_links::counters() const
+{
+    lock_guard const guard(this->lock);
+    auto sum = this->closed_counters;
+    for (auto const& [number, connection] : this->connections)
+    {
+        auto const counters = connection.link->counters();
+        sum.messages_sent += counters.messages_sent;
+        sum.messages_received += counters.messages_received;
+        sum.bytes_sent += counters.bytes_sent;
+        sum.bytes_received += counters.bytes_received;
+    }
+    return sum;
+}
+
+} // namespace filbertroad::server
--- /dev/null
+++ b/filbertroad/server/peer_requests.hpp
@@ -0,0 +1,72 @@
+#ifndef FILBERTROAD_SERVER_PEER_REQUESTS_HPP
+#define FILBERTROAD_SERVER_PEER_REQUESTS_HPP
+
+/// Requests from this entry to other entries, matched with their responses.
+///
+///     peer_requests requests(clock, send);
+///     requests.send(owner, request, std::chrono::seconds(3), [](peer_result result) { ... });
+///
+/// Safe for several threads. Handlers are called once, without a lock held.
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/base/result.hpp"
+#include "filbertroad/model/job_key.hpp"
+#include "filbertroad/wire/link.pb.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <mutex>
+
+namespace filbertroad::server
+{
+
+enum class peer_error
+{
+    /// There is no link; the request was not sent.
+    not_linked,
+    /// The link closed before the response; the peer may have acted on the request.
+    link_closed,
+    timeout,
+};
+
+using peer_result = base::result<wire::response, peer_error>;
+using peer_handler = std::function<void(peer_result)>;
+
+class peer_requests
+{
+public:
+    using sender = std::function<bool(model::process_id const&, wire::link_message const&)>;
+
+    peer_requests(base::clock const& clock, sender send);
+
+    /// Sends `request`; its id is set here.
+    void send(model::process_id const& peer, wire::request request,
+              std::chrono::milliseconds timeout, peer_handler handler);
+    /// Responses without a waiting request are dropped, since their request timed out.
+    void response_received(model::process_id const& peer, wire::response& response);
+    void link_closed(model::process_id const& peer);
+    /// Ends requests whose time is over. Call every 100 ms.
+    void tick();
+
+private:
+    struct waiting_request
+    {
+        model::process_id peer;
+        base::steady_time deadline;
+        peer_handler handler;
+    };
+
+    template <class Predicate>
+    void fail_if(Predicate const& predicate, peer_error error);
+
+    base::clock const& clock;
+    sender send_message;
+    std::mutex lock;
+    std::uint64_t next_id = 1;
+    std::map<std::uint64_t, waiting_request> waiting;
+};
+
+} // namespace filbertroad::server
+
+#endif
--- /dev/null
+++ b/filbertroad/server/shard_registry.hpp
@@ -0,0 +1,146 @@
+#ifndef FILBERTROAD_SERVER_SHARD_REGISTRY_HPP
+#define FILBERTROAD_SERVER_SHARD_REGISTRY_HPP
+
+/// The service shards of an entry, each with its own lock. Every entry has an object for every
+/// shard, also for those that another entry owns, because it may still hold their earlier jobs.
+///
+///     shard_registry shards(clock, self, options, senders);
+///     shards.apply_state(*state, linked_agents);
+///     shards.submit({"kitrefill", 0}, request, limits, [](shard_answer answer) { ... });
+///
+/// Safe for several threads. Messages are sent while the shard's lock is held, so that two threads
+/// cannot reorder them; answers are passed on after it was released.
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/control/control_state.hpp"
+#include "filbertroad/server/entry_links.hpp"
+#include "filbertroad/submission/shard_owner.hpp"
+
+#include <atomic>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <shared_mutex>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace filbertroad::server
+{
+
+struct shard_id
+{
+    std::string service;
+    std::uint32_t shard = 0;
+
+    friend auto operator<=>(shard_id const&, shard_id const&) = default;
+};
+
+/// The answer of a shard; a `process_id` names the member that holds the key.
+using shard_answer = std::variant<wire::job_report, wire::request_error, model::process_id>;
+using shard_handler = std::function<void(shard_answer)>;
+
+/// How a shard reaches other processes.
+struct shard_senders
+{
+    std::function<bool(model::process_id const&, wire::link_message const&)> to_agent;
+    /// Asks a member; the reply comes back through shard_registry::lookup_answered.
+    std::function<void(shard_id const&, model::process_id const&, wire::lookup const&)> lookup;
+    std::function<bool()> is_confirmed;
+};
+
+class shard_registry
+{
+public:
+    shard_registry(base::clock const& clock, model::process_id self,
+                   submission::owner_options options, std::uint32_t max_queued_tasks,
+                   shard_senders senders);
+    ~shard_registry();
+
+    /// Creates missing shards and tells all shards what the state says about them.
+    void apply_state(control::control_state const& state, std::span<linked_agent const> linked);
+
+    /// News of a link that is older than the newest known link of the agent is ignored. A hello is
+    /// applied once, since applying it again would queue tasks again that were sent after it.
+    void agent_linked(control::control_state const& state, linked_agent const& agent);
+    void agent_unlinked(model::process_id const& agent, std::uint64_t link);
+    void agent_message(model::process_id const& agent, std::uint64_t link,
+                       wire::link_message& message);
+    void lookup_answered(shard_id const& id, model::process_id const& member,
+                         wire::lookup const& asked, std::optional<wire::lookup_reply> const& reply);
+
+    /// Each calls `handler` once; false if there is no such shard.
+    bool submit(shard_id const& id, wire::submit_request const& request,
+                submission::job_limits const& limits, shard_handler handler);
+    bool query(shard_id const& id, wire::job_query const& query, shard_handler handler);
+    bool cancel(shard_id const& id, wire::job_query const& query, shard_handler handler);
+    bool acknowledge(shard_id const& id, wire::job_query const& query, shard_handler handler);
+
+    /// Whether any shard holds the key.
+    [[nodiscard]] wire::lookup_reply answer_lookup(wire::lookup const& lookup) const;
+    /// The shard that holds the key, if any does.
+    [[nodiscard]] std::optional<shard_id> find_holder(std::string const& route,
+                                                      std::string const& key) const;
+
+    /// Runs what depends on time in all shards. Call every 20 ms.
+    void tick();
+
+    [[nodiscard]] bool is_idle() const;
+    [[nodiscard]] std::vector<shard_id> shards() const;
+    [[nodiscard]] wire::handover take_handover(shard_id const& id);
+    void accept_handover(control::control_state const& state, wire::handover const& jobs);
+    /// Adds queues and targets of the shards that this entry owns or that still hold work.
+    void add_status(wire::status_reply& reply) const;
+
+private:
+    struct hosted_shard;
+    using shard_ptr = std::shared_ptr<hosted_shard>;
+
+    shard_ptr find(shard_id const& id) const;
+    std::vector<std::pair<shard_id, shard_ptr>> all() const;
+    shard_ptr create(shard_id const& id);
+    std::optional<shard_id> shard_of_agent(model::process_id const& agent) const;
+    template <class Function>
+    void run(shard_id const& id, hosted_shard& shard, Function const& function);
+    template <class Function>
+    bool request(shard_id const& id, shard_handler handler, Function const& function);
+    void perform(shard_id const& id, hosted_shard& shard,
+                 std::vector<std::function<void()>>& answers);
+
+    base::clock const& clock;
+    model::process_id self;
+    submission::owner_options options;
+    std::uint32_t max_queued_tasks;
+    shard_senders senders;
+    std::atomic<std::uint64_t> next_request{1};
+
+    /// Guards the maps only; each shard has its own lock.
+    mutable std::shared_mutex lock;
+    std::map<shard_id, shard_ptr> hosted;
+    std::unordered_map<model::process_id, shard_id> agent_shards;
+};
+
+/// The shard that a target belongs to; empty if its service has no pool yet.
+[[nodiscard]] std::optional<shard_id> shard_of_target(control::control_state const& state,
+                                                      std::string const& service,
+                                                      std::string const& target);
+
+/// The shard and limits of a key of a route; empty if the route or its pool does not exist.
+struct route_target
+{
+    shard_id id;
+    submission::job_limits limits;
+};
+[[nodiscard]] std::optional<route_target> resolve_route(control::control_state const& state,
+                                                        std::string const& route,
+                                                        std::string const& key);
+
+} // namespace filbertroad::server
+
+#endif
