Add the libraries settings and telemetry

Cause: entry and agent processes need checked settings, numbered events, metrics and spans before they can be assembled.

Change: - settings: TOML (toml11) of the roles entry and agent. One table per role holds type, unit, range, default and description of each key; it drives the checks and docs/settings.md. The key `role` selects the table. A fault names file, line, key and reason. - telemetry: event log through log4cxx with a catalogue in events.hpp and docs/events.md; counters, gauges and Boost.Histogram histograms in the Prometheus text format; W3C traceparent and a span writer of OTLP/JSON lines.

--- /dev/null
+++ b/filbertroad/settings/settings.cpp
@@ -0,0 +1,342 @@
+#include "filbertroad/settings/settings.hpp"
+
+#include "filbertroad/model/job_key.hpp"
+#include "filbertroad/settings/address.hpp"
+#include "filbertroad/settings/internal/table.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <fstream>
+#include <optional>
+#include <set>
+#include <span>
+#include <sstream>
+#include <toml.hpp>
+
+namespace filbertroad::settings
+{
+namespace
+{
+
+using internal::kind;
+using internal::row;
+
+constexpr std::string_view role_key = "role";
+
+/// One value of the file with its dotted key.
+struct leaf
+{
+    std::string key;
+    toml::value value;
+    std::uint32_t line;
+};
+
+/// Code and reason of a fault; the place is added by the caller.
+using complaint = base::error<settings_error>;
+
+void collect(toml::value const& table, std::string const& prefix, std::vector<leaf>& out)
+{
+    for (auto const& [name, value] : table.as_table())
+    {
+        auto key = prefix;
+        key.append(prefix.empty() ? "" : ".").append(name);
+        if (value.is_table())
+        {
+            collect(value, key, out);
+        }
+        else
+        {
+            out.push_back({key, value, value.location().line()});
+        }
+    }
+}
+
+/// Line of the first fault that toml11 reports: its text has a line ` N | source`.
+std::uint32_t line_of_syntax_fault(std::string_view text)
+{
+    for (auto bar = text.find(" | "); bar != std::string_view::npos;
+         bar = text.find(" | ", bar + 1))
+    {
+        auto begin = bar;
+        while (begin > 0 && std::isdigit(static_cast<unsigned char>(text[begin - 1])) != 0)
+        {
+            --begin;
+        }
+        if (begin < bar)
+        {
+            return static_cast<std::uint32_t>(
+                std::stoul(std::string(text.substr(begin, bar - begin))));
+        }
+    }
+    return 0;
+}
+
+/// The first line of toml11's text without the name of the function that reports it.
+std::string reason_of_syntax_fault(std::string_view text)
+{
+    auto line = text.substr(0, text.find('\n'));
+    for (std::string_view const prefix : {"[error] ", "toml::"})
+    {
+        if (line.starts_with(prefix))
+        {
+            line.remove_prefix(prefix.size());
+        }
+    }
+    if (auto const colon = line.find(": "); colon != std::string_view::npos)
+    {
+        line.remove_prefix(colon + 2);
+    }
+    return std::string(line);
+}
+
+std::optional<complaint> check_text(std::string_view text, kind what, internal::range bounds)
+{
+    switch (what)
+    {
+    case kind::name:
+        if (!model::is_valid_name(text))
+        {
+            return complaint{settings_error::bad_name,
+                             "expected 1 to 64 characters of [A-Za-z0-9_.-]"};
+        }
+        break;
+    case kind::address:
+        if (!is_valid_address(text))
+        {
+            return complaint{settings_error::bad_address,
+                             "'" + std::string(text) +
+                                 "' is not an address IP:PORT with a port of 1 to 65535"};
+        }
+        break;
+    case kind::token:
+        if (text.size() < bounds.min || text.size() > bounds.max ||
+            !std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~'; }))
+        {
+            return complaint{settings_error::out_of_range,
+                             "expected " + std::to_string(bounds.min) + " to " +
+                                 std::to_string(bounds.max) +
+                                 " printable ASCII characters without spaces"};
+        }
+        break;
+    case kind::path:
+    case kind::number:
+        break;
+    }
+    return std::nullopt;
+}
+
+/// Checks one value and stores it through the member of its row.
+template <class Settings>
+class assignment
+{
+public:
+    assignment(row<Settings> const& definition, toml::value const& value, Settings& out)
+        : definition(definition), value(value), out(out)
+    {
+    }
+
+    std::optional<complaint> operator()(std::string Settings::*member) const
+    {
+        return this->read_text(this->value, this->out.*member);
+    }
+
+    std::optional<complaint> operator()(std::uint64_t Settings::*member) const
+    {
+        return this->read_number(this->out.*member);
+    }
+
+    std::optional<complaint> operator()(std::chrono::milliseconds Settings::*member) const
+    {
+        std::uint64_t number = 0;
+        auto fault = this->read_number(number);
+        this->out.*member = std::chrono::milliseconds(number);
+        return fault;
+    }
+
+    std::optional<complaint> operator()(std::vector<std::string> Settings::*member) const
+    {
+        if (!this->value.is_array())
+        {
+            return this->wrong_type("a list of texts");
+        }
+        auto const& items = this->value.as_array();
+        if (items.size() < this->definition.bounds.min ||
+            items.size() > this->definition.bounds.max)
+        {
+            return this->out_of_range(std::to_string(items.size()) + " values");
+        }
+        (this->out.*member).clear();
+        for (auto const& item : items)
+        {
+            if (auto fault = this->read_text(item, (this->out.*member).emplace_back()))
+            {
+                return fault;
+            }
+        }
+        return std::nullopt;
+    }
+
+private:
+    std::optional<complaint> read_text(toml::value const& source, std::string& target) const
+    {
+        if (!source.is_string())
+        {
+            return this->wrong_type("a text");
+        }
+        target = source.as_string().str;
+        return check_text(target, this->definition.what, this->definition.bounds);
+    }
+
+    std::optional<complaint> read_number(std::uint64_t& target) const
+    {
+        if (!this->value.is_integer())
+        {
+            return this->wrong_type("an integer");
+        }
+        auto const number = this->value.as_integer();
+        auto const& bounds = this->definition.bounds;
+        if (number < 0 || static_cast<std::uint64_t>(number) < bounds.min ||
+            static_cast<std::uint64_t>(number) > bounds.max)
+        {
+            return this->out_of_range(std::to_string(number));
+        }
+        target = static_cast<std::uint64_t>(number);
+        return std::nullopt;
+    }
+
+    static complaint wrong_type(std::string const& expected)
+    {
+        return {settings_error::wrong_type, "expected " + expected};
+    }
+
+    [[nodiscard]] complaint out_of_range(std::string const& found) const
+    {
+        auto const& bounds = this->definition.bounds;
+        return {settings_error::out_of_range, found + " is outside " + std::to_string(bounds.min) +
+                                                  " to " + std::to_string(bounds.max) + " " +
+                                                  std::string(this->definition.unit)};
+    }
+
+    row<Settings> const& definition;
+    toml::value const& value;
+    Settings& out;
+};
+
+template <class Settings>
+base::result<any_settings, settings_fault> read_all(std::span<row<Settings> const> table,
+                                                    std::span<leaf const> leaves,
+                                                    std::string const& file)
+{
+    Settings out;
+    std::set<std::string_view> present;
+    for (auto const& leaf : leaves)
+    {
+        if (leaf.key == role_key)
+        {
+            continue;
+        }
+        auto const found = std::find_if(table.begin(), table.end(),
+                                        [&](auto const& row) { return row.key == leaf.key; });
+        if (found == table.end())
+        {
+            return settings_fault{settings_error::unknown_key, file, leaf.line, leaf.key,
+                                  "unknown key"};
+        }
+        if (auto fault = std::visit(assignment<Settings>(*found, leaf.value, out), found->member))
+        {
+            return settings_fault{fault->code, file, leaf.line, leaf.key, fault->detail};
+        }
+        present.insert(found->key);
+    }
+    for (auto const& row : table)
+    {
+        if (row.required && !present.contains(row.key))
+        {
+            return settings_fault{settings_error::missing, file, 0, std::string(row.key),
+                                  "this key is required"};
+        }
+    }
+    return any_settings(std::move(out));
+}
+
+base::result<any_settings, settings_fault> read_role(toml::value const& document,
+                                                     std::string const& file)
+{
+    std::vector<leaf> leaves;
+    collect(document, "", leaves);
+    std::stable_sort(leaves.begin(), leaves.end(),
+                     [](leaf const& a, leaf const& b) { return a.line < b.line; });
+    auto const role = std::find_if(leaves.begin(), leaves.end(),
+                                   [](leaf const& leaf) { return leaf.key == role_key; });
+    if (role == leaves.end())
+    {
+        return settings_fault{settings_error::missing, file, 0, std::string(role_key),
+                              "expected \"entry\" or \"agent\""};
+    }
+    auto const text = role->value.is_string() ? role->value.as_string().str : std::string();
+    if (text == "entry")
+    {
+        return read_all<entry_settings>(internal::entry_table, leaves, file);
+    }
+    if (text == "agent")
+    {
+        return read_all<agent_settings>(internal::agent_table, leaves, file);
+    }
+    return settings_fault{settings_error::out_of_range, file, role->line, std::string(role_key),
+                          "expected \"entry\" or \"agent\""};
+}
+
+} // namespace
+
+std::string to_string(settings_fault const& fault)
+{
+    auto text = fault.file;
+    if (fault.line != 0)
+    {
+        text += ":" + std::to_string(fault.line);
+    }
+    if (!fault.key.empty())
+    {
+        text += ": " + fault.key;
+    }
+    return text + ": " + fault.reason;
+}
+
+base::result<any_settings, settings_fault> parse(std::string_view text, std::string const& file)
+{
+    try
+    {
+        std::istringstream stream{std::string(text)};
+        auto loaded = read_role(toml::parse(stream, file), file);
+        if (loaded.has_value())
+        {
+            if (auto* entry = std::get_if<entry_settings>(&loaded.value()))
+            {
+                auto const or_listen = [](std::string& address, std::string const& listen)
+                { address = address.empty() ? listen : address; };
+                or_listen(entry->advertise_http, entry->listen_http);
+                or_listen(entry->advertise_link, entry->listen_link);
+            }
+        }
+        return loaded;
+    }
+    catch (std::exception const& fault)
+    {
+        return settings_fault{settings_error::syntax, file, line_of_syntax_fault(fault.what()), "",
+                              reason_of_syntax_fault(fault.what())};
+    }
+}
+
+base::result<any_settings, settings_fault> load(std::string const& path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    std::ostringstream text;
+    // A directory opens but cannot be read, which leaves `text` without content.
+    if (!stream || !(text << stream.rdbuf()))
+    {
+        return settings_fault{settings_error::unreadable, path, 0, "", "cannot read this file"};
+    }
+    return parse(text.str(), path);
+}
+
+} // namespace filbertroad::settings
--- /dev/null
+++ b/filbertroad/settings/settings.hpp
@@ -0,0 +1,117 @@
+#ifndef FILBERTROAD_SETTINGS_SETTINGS_HPP
+#define FILBERTROAD_SETTINGS_SETTINGS_HPP
+
+/// Settings of the roles entry and agent, read from TOML. One table per role (see
+/// internal/table.hpp) holds the type, unit, range, default and description of each value; it
+/// drives the checks and the page docs/settings.md.
+///
+///     auto loaded = settings::load("entry.toml");
+///     if (!loaded) return fail(settings::to_string(loaded.error()));
+///     if (auto* entry = std::get_if<settings::entry_settings>(&loaded.value())) run_entry(*entry);
+///
+/// All functions are thread safe.
+
+#include "filbertroad/base/result.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace filbertroad::settings
+{
+
+/// Path that stands for standard error.
+inline constexpr std::string_view standard_error_path = "-";
+
+/// Settings of an entry. The initial values are the defaults.
+struct entry_settings
+{
+    std::string name;
+    std::string zone;
+    std::string region;
+    /// IP:PORT for callers and operators.
+    std::string listen_http;
+    /// IP:PORT for links of entries and agents.
+    std::string listen_link;
+    /// Addresses told to other processes; parse() sets them to the listen addresses when absent.
+    std::string advertise_http;
+    std::string advertise_link;
+    std::string log_address;
+    std::string log_stream = "control";
+    /// Bearer token of operators.
+    std::string operator_token;
+    std::uint64_t threads = 2;
+    std::uint64_t max_body_bytes = 16UL * 1024 * 1024;
+    std::uint64_t max_connections = 10'000;
+    std::uint64_t max_queued_tasks = 200'000;
+    /// Bound of the payloads and answers held, in bytes.
+    std::uint64_t max_held_bytes = 128UL * 1024 * 1024;
+    /// Path of the event log; "-" is standard error.
+    std::string event_log = "-";
+    /// Path of the span file; "-" is standard error, empty writes no spans.
+    std::string span_file;
+};
+
+/// Settings of an agent. The initial values are the defaults.
+struct agent_settings
+{
+    std::string name;
+    std::string zone;
+    /// IP:PORT at which the target beside this agent announces itself.
+    std::string listen;
+    /// Link addresses of entries to connect to first; the view tells the others.
+    std::vector<std::string> entries;
+    std::uint64_t max_ledger_entries = 200'000;
+    std::uint64_t max_ledger_bytes = 64UL * 1024 * 1024;
+    /// Time that a planned stop may wait for running tasks.
+    std::chrono::milliseconds drain_time{60'000};
+    std::string event_log = "-";
+    std::string span_file;
+};
+
+enum class settings_error
+{
+    unreadable,
+    syntax,
+    unknown_key,
+    wrong_type,
+    out_of_range,
+    bad_address,
+    bad_name,
+    missing,
+};
+
+/// What is wrong with a settings file.
+struct settings_fault
+{
+    settings_error code;
+    std::string file;
+    /// Line of the value, from 1; 0 if the fault has no line.
+    std::uint32_t line = 0;
+    /// Dotted key, such as `limits.max_body_bytes`; empty if the fault has no key.
+    std::string key;
+    std::string reason;
+};
+
+/// `FILE:LINE: KEY: REASON`, without the parts that are absent.
+[[nodiscard]] std::string to_string(settings_fault const& fault);
+
+using any_settings = std::variant<entry_settings, agent_settings>;
+
+/// Reads and checks the settings in `text`; its key `role` selects the type. `file` is used in
+/// faults only. The first fault in order of lines is returned; absent keys come last.
+[[nodiscard]] base::result<any_settings, settings_fault> parse(std::string_view text,
+                                                               std::string const& file);
+
+/// Reads and checks the file at `path`.
+[[nodiscard]] base::result<any_settings, settings_fault> load(std::string const& path);
+
+/// The page docs/settings.md, in Markdown.
+[[nodiscard]] std::string settings_page();
+
+} // namespace filbertroad::settings
+
+#endif
--- /dev/null
+++ b/filbertroad/settings/settings_page.cpp
@@ -0,0 +1,110 @@
+#include "filbertroad/settings/internal/table.hpp"
+#include "filbertroad/settings/settings.hpp"
+
+#include <span>
+
+namespace filbertroad::settings
+{
+namespace
+{
+
+using internal::kind;
+using internal::row;
+
+template <class Settings>
+std::string type_of(row<Settings> const& row)
+{
+    bool const is_list = std::holds_alternative<std::vector<std::string> Settings::*>(row.member);
+    switch (row.what)
+    {
+    case kind::name:
+        return "name";
+    case kind::address:
+        return is_list ? "list of addresses" : "address";
+    case kind::token:
+        return "text";
+    case kind::path:
+        return "path";
+    case kind::number:
+        return "integer";
+    }
+    return "";
+}
+
+template <class Settings>
+std::string range_of(row<Settings> const& row)
+{
+    if (row.bounds.max == 0)
+    {
+        return "";
+    }
+    return std::to_string(row.bounds.min) + " to " + std::to_string(row.bounds.max);
+}
+
+template <class Settings>
+struct default_text
+{
+    Settings values;
+
+    std::string operator()(std::string Settings::*member) const
+    {
+        return "`\"" + this->values.*member + "\"`";
+    }
+    std::string operator()(std::uint64_t Settings::*member) const
+    {
+        return "`" + std::to_string(this->values.*member) + "`";
+    }
+    std::string operator()(std::chrono::milliseconds Settings::*member) const
+    {
+        return "`" + std::to_string((this->values.*member).count()) + "`";
+    }
+    std::string operator()(std::vector<std::string> Settings::* /*member*/) const { return "`[]`"; }
+};
+
+template <class Settings>
+std::string default_of(row<Settings> const& row)
+{
+    if (row.required)
+    {
+        return "required";
+    }
+    if (!row.default_note.empty())
+    {
+        return std::string(row.default_note);
+    }
+    return std::visit(default_text<Settings>{}, row.member);
+}
+
+template <class Settings>
+void append_role(std::span<row<Settings> const> table, std::string_view role, std::string& out)
+{
+    out += "\n## `role = \"";
+    out += role;
+    out += "\"`\n\n| key | type | unit | range | default | meaning |\n"
+           "| --- | --- | --- | --- | --- | --- |\n";
+    for (auto const& row : table)
+    {
+        out += "| `" + std::string(row.key) + "` | " + type_of(row) + " | " +
+               std::string(row.unit) + " | " + range_of(row) + " | " + default_of(row) + " | " +
+               std::string(row.description) + " |\n";
+    }
+}
+
+} // namespace
+
+std::string settings_page()
+{
+    std::string out = "# Settings\n\n"
+                      "`filbertroad check --list` prints this page. A settings file is TOML; its "
+                      "key `role` says which\ntable applies. A key with a dot stands in a table: "
+                      "`log.address` is `address` under `[log]`. Names are\n1 to 64 characters of "
+                      "`[A-Za-z0-9_.-]`; addresses are `IP:PORT`, with IPv6 in brackets; the "
+                      "range of a\ntext is its length and that of a list its count. "
+                      "`filbertroad check FILE` prints `FILE:LINE: KEY: REASON`\nand exits with 2 "
+                      "if a file is not valid.\n";
+    append_role<entry_settings>(internal::entry_table, "entry", out);
+    append_role<agent_settings>(internal::agent_table, "agent", out);
+    return out;
+}
+
+} // namespace filbertroad::settings
--- /dev/null
+++ b/filbertroad/settings/settings_test.cpp
@@ -0,0 +1,124 @@
+#include "filbertroad/settings/address.hpp"
+#include "filbertroad/settings/settings.hpp"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace filbertroad::settings
+{
+namespace
+{
+
+constexpr std::string_view valid_entry = R"(role = "entry"
+name = "e1"
+zone = "a"
+region = "r"
+listen_http = "127.0.0.1:8101"
+listen_link = "127.0.0.1:7101"
+operator_token = "operator-token-1"
+[log]
+address = "127.0.0.1:7000"
+)";
+
+constexpr std::string_view valid_agent = R"(role = "agent"
+name = "g1"
+zone = "a"
+listen = "127.0.0.1:9101"
+entries = ["127.0.0.1:7101", "[::1]:7102"]
+drain_time_ms = 1500
+)";
+
+struct bad_file
+{
+    std::string label;
+    std::string text;
+    std::string expected;
+};
+
+// Guards against a file with a fault that is accepted, or reported without its place.
+TEST(settings, each_fault_names_file_line_key_and_reason)
+{
+    std::string const entry(valid_entry);
+    std::string const agent(valid_agent);
+    std::vector<bad_file> const cases{
+        {"unknown key", agent + "colour = 1\n", "f.toml:7: colour: unknown key"},
+        {"unknown nested key", entry + "colour = 1\n", "f.toml:10: log.colour: unknown key"},
+        {"number as text", agent + "ledger.max_entries = \"9\"\n",
+         "f.toml:7: ledger.max_entries: expected an integer"},
+        {"text as number", agent + "event_log = 3\n", "f.toml:7: event_log: expected a text"},
+        {"below the range", entry + "[limits]\nmax_body_bytes = 0\n",
+         "f.toml:11: limits.max_body_bytes: 0 is outside 1024 to 25165824 bytes"},
+        {"negative", entry + "[limits]\nmax_connections = -1\n",
+         "f.toml:11: limits.max_connections: -1 is outside 1 to 100000 connections"},
+        {"above the range", agent + "ledger.max_entries = 10000001\n",
+         "f.toml:7: ledger.max_entries: 10000001 is outside 1 to 10000000 starts"},
+        {"host name", entry + "stream = \"a b\"\n",
+         "f.toml:10: log.stream: expected 1 to 64 characters of [A-Za-z0-9_.-]"},
+        {"bad role", "role = \"router\"\n", "f.toml:1: role: expected \"entry\" or \"agent\""},
+        {"no role", "name = \"x\"\n", "f.toml: role: expected \"entry\" or \"agent\""},
+        {"missing key", "role = \"agent\"\nname = \"x\"\n", "f.toml: zone: this key is required"},
+        {"bad address", "role = \"agent\"\nlisten = \"host:80\"\n",
+         "f.toml:2: listen: 'host:80' is not an address IP:PORT with a port of 1 to 65535"},
+        {"bad address in a list", "role = \"agent\"\nentries = [\"127.0.0.1:0\"]\n",
+         "f.toml:2: entries: '127.0.0.1:0' is not an address IP:PORT with a port of 1 to 65535"},
+        {"empty list", "role = \"agent\"\nentries = []\n",
+         "f.toml:2: entries: 0 values is outside 1 to 64 addresses"},
+        {"short token", "role = \"entry\"\noperator_token = \"x\"\n",
+         "f.toml:2: operator_token: expected 16 to 256 printable ASCII characters without spaces"},
+    };
+    for (auto const& bad : cases)
+    {
+        auto const loaded = parse(bad.text, "f.toml");
+        ASSERT_FALSE(loaded.has_value()) << bad.label;
+        EXPECT_EQ(to_string(loaded.error()), bad.expected) << bad.label;
+    }
+}
+
+TEST(settings, syntax_fault_names_its_line)
+{
+    for (std::string const text : {"role = \"agent\"\nname = \n", "role = \"agent\"\nname \n"})
+    {
+        auto const loaded = parse(text, "f.toml");
+        ASSERT_FALSE(loaded.has_value());
+        EXPECT_EQ(loaded.error().code, settings_error::syntax);
+        EXPECT_EQ(loaded.error().line, 2U) << to_string(loaded.error());
+    }
+}
+
+TEST(settings, unreadable_files_are_reported)
+{
+    for (std::string const path : {"/no/such/file.toml", "/tmp"})
+    {
+        auto const loaded = load(path);
+        ASSERT_FALSE(loaded.has_value());
+        EXPECT_EQ(loaded.error().code, settings_error::unreadable);
+    }
+}
+
+TEST(settings, values_and_defaults_arrive)
+{
+    auto const loaded = parse(valid_entry, "e.toml");
+    ASSERT_TRUE(loaded.has_value()) << to_string(loaded.error());
+    auto const& entry = std::get<entry_settings>(loaded.value());
+    EXPECT_EQ(entry.advertise_link, "127.0.0.1:7101");
+    EXPECT_EQ(entry.log_address, "127.0.0.1:7000");
+    EXPECT_EQ(entry.log_stream, "control");
+    auto const other = parse(valid_agent, "g.toml");
+    ASSERT_TRUE(other.has_value()) << to_string(other.error());
+    auto const& agent = std::get<agent_settings>(other.value());
+    EXPECT_EQ(agent.entries.size(), 2U);
+    EXPECT_EQ(agent.drain_time, std::chrono::milliseconds(1500));
+}
+
+// Guards against a page that describes other settings than the program reads.
+TEST(settings, page_in_docs_matches_the_table)
+{
+    std::ifstream file(FILBERTROAD_SOURCE_DIR "/docs/settings.md");
+    std::ostringstream text;
+    text << file.rdbuf();
+    EXPECT_EQ(text.str(), settings_page()) << "run: filbertroad check --list > docs/settings.md";
+}
+
+} // namespace
+} // namespace filbertroad::settings
--- /dev/null
+++ b/filbertroad/telemetry/event_log.hpp
@@ -0,0 +1,71 @@
+#ifndef FILBERTROAD_TELEMETRY_EVENT_LOG_HPP
+#define FILBERTROAD_TELEMETRY_EVENT_LOG_HPP
+
+/// The event log of a process. Lines have the form
+/// `2026-12-04T04:50:00.123Z INFO entry-1 3007 zone_changed zone=khi-b in_service=false`.
+///
+///     auto log = telemetry::open_event_log("-", "entry-1");
+///     if (!log) return fail(log.error().detail);
+///     log.value()->write(telemetry::events::process_started, {{"version", "0.1.0"}});
+
+#include "filbertroad/base/result.hpp"
+#include "filbertroad/telemetry/events.hpp"
+
+#include <initializer_list>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace filbertroad::telemetry
+{
+
+enum class telemetry_error
+{
+    cannot_open,
+};
+
+struct event_field
+{
+    std::string_view name;
+    std::string value;
+};
+
+/// Implementations may be called from several threads.
+class event_log
+{
+public:
+    virtual ~event_log() = default;
+
+    /// Writes one event of the catalogue.
+    virtual void write(event_definition const& event, std::span<event_field const> fields) = 0;
+
+    void write(event_definition const& event, std::initializer_list<event_field> fields = {})
+    {
+        this->write(event, std::span(fields.begin(), fields.size()));
+    }
+};
+
+/// Discards every event; for tests and tools.
+class null_event_log final : public event_log
+{
+public:
+    using event_log::write;
+    void write(event_definition const& /*event*/, std::span<event_field const> /*fields*/) override
+    {
+    }
+};
+
+/// Appends to the file at `path`, or to standard error if `path` is "-". `process` is printed in
+/// each line.
+[[nodiscard]] base::result<std::unique_ptr<event_log>, base::error<telemetry_error>>
+open_event_log(std::string const& path, std::string_view process);
+
+/// `NUMBER NAME field=value ...`. A value that is empty or holds a space, a quote or a control
+/// character is printed in quotes with JSON escapes.
+[[nodiscard]] std::string format_event(event_definition const& event,
+                                       std::span<event_field const> fields);
+
+} // namespace filbertroad::telemetry
+
+#endif
--- /dev/null
+++ b/filbertroad/telemetry/internal/quote.hpp
@@ -0,0 +1,42 @@
+#ifndef FILBERTROAD_TELEMETRY_INTERNAL_QUOTE_HPP
+#define FILBERTROAD_TELEMETRY_INTERNAL_QUOTE_HPP
+
+/// JSON strings. Boost.JSON is compiled into one library of the repository above this one, so that
+/// its serialiser is not available here.
+
+#include <string>
+#include <string_view>
+
+namespace filbertroad::telemetry::internal
+{
+
+/// `text` as a JSON string with its quotes.
+[[nodiscard]] inline std::string quote(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string out = "\"";
+    for (char const c : text)
+    {
+        auto const byte = static_cast<unsigned char>(c);
+        if (c == '"' || c == '\\')
+        {
+            out += '\\';
+            out += c;
+        }
+        else if (byte < 0x20 || byte == 0x7f)
+        {
+            out += "\\u00";
+            out += digits[byte >> 4U];
+            out += digits[byte & 0xfU];
+        }
+        else
+        {
+            out += c;
+        }
+    }
+    return out + '"';
+}
+
+} // namespace filbertroad::telemetry::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/telemetry/metrics.cpp
@@ -0,0 +1,261 @@
+#include "filbertroad/telemetry/metrics.hpp"
+
+#include <array>
+#include <boost/histogram/accumulators/count.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+#include <boost/histogram/storage_adaptor.hpp>
+#include <charconv>
+#include <limits>
+
+namespace filbertroad::telemetry
+{
+namespace
+{
+
+namespace bh = boost::histogram;
+
+using atomic_count = bh::accumulators::count<std::uint64_t, true>;
+using bucket_axis = bh::axis::variable<double>;
+using bucket_histogram = bh::histogram<std::tuple<bucket_axis>, bh::dense_storage<atomic_count>>;
+
+std::string number_text(double value)
+{
+    std::array<char, 32> text{};
+    auto const [end, code] = std::to_chars(text.data(), text.data() + text.size(), value);
+    return code == std::errc() ? std::string(text.data(), end) : "0";
+}
+
+/// Boost.Histogram's bins include their lower edge; the next greater number as edge makes the upper
+/// bound inclusive, as Prometheus defines it.
+std::vector<double> edges_of(std::span<double const> bounds)
+{
+    std::vector<double> edges{-std::numeric_limits<double>::infinity()};
+    for (double const bound : bounds)
+    {
+        edges.push_back(std::nextafter(bound, std::numeric_limits<double>::infinity()));
+    }
+    return edges;
+}
+
+void append_escaped(std::string_view text, std::string& out)
+{
+    for (char const c : text)
+    {
+        if (c == '\n')
+        {
+            out += "\\n";
+            continue;
+        }
+        if (c == '\\' || c == '"')
+        {
+            out += '\\';
+        }
+        out += c;
+    }
+}
+
+/// `{a="b"}`, or nothing without labels.
+std::string label_text(metric_labels const& labels)
+{
+    std::string out;
+    for (auto const& label : labels)
+    {
+        out += out.empty() ? "{" : ",";
+        out += label.name + "=\"";
+        append_escaped(label.value, out);
+        out += '"';
+    }
+    return out.empty() ? out : out + "}";
+}
+
+metric_labels with_bound(metric_labels labels, std::string bound)
+{
+    labels.push_back({"le", std::move(bound)});
+    return labels;
+}
+
+void append_line(std::string const& name, metric_labels const& labels, std::string const& value,
+                 std::string& out)
+{
+    out += name + label_text(labels) + " " + value + "\n";
+}
+
+void append_metric(std::string const& name, metric_labels const& labels, counter const& metric,
+                   std::string& out)
+{
+    append_line(name, labels, std::to_string(metric.value()), out);
+}
+
+void append_metric(std::string const& name, metric_labels const& labels, gauge const& metric,
+                   std::string& out)
+{
+    append_line(name, labels, number_text(metric.value()), out);
+}
+
+void append_metric(std::string const& name, metric_labels const& labels, histogram const& metric,
+                   std::string& out)
+{
+    auto const bounds = metric.bounds();
+    for (std::size_t i = 0; i < bounds.size(); ++i)
+    {
+        append_line(name + "_bucket", with_bound(labels, number_text(bounds[i])),
+                    std::to_string(metric.count_up_to(i)), out);
+    }
+    auto const count = std::to_string(metric.count());
+    append_line(name + "_bucket", with_bound(labels, "+Inf"), count, out);
+    append_line(name + "_sum", labels, number_text(metric.sum()), out);
+    append_line(name + "_count", labels, count, out);
+}
+
+} // namespace
+
+struct histogram::buckets
+{
+    bucket_histogram counts;
+};
+
+histogram::histogram(std::span<double const> bounds)
+    : upper_bounds(bounds.begin(), bounds.end()),
+      content(std::make_unique<buckets>(buckets{bh::make_histogram_with(
+          bh::dense_storage<atomic_count>(), bucket_axis(edges_of(bounds)))}))
+{
+}
+
+histogram::~histogram() = default;
+
+void histogram::observe(double value)
+{
+    this->content->counts(value);
+    this->total.fetch_add(value, std::memory_order_relaxed);
+}
+
+std::span<double const> histogram::bounds() const
+{
+    return this->upper_bounds;
+}
+
+std::uint64_t histogram::count_up_to(std::size_t index) const
+{
+    std::uint64_t sum = 0;
+    for (std::size_t i = 0; i <= index; ++i)
+    {
+        sum += this->content->counts.at(static_cast<int>(i)).value();
+    }
+    return sum;
+}
+
+std::uint64_t histogram::count() const
+{
+    // The overflow bin follows the last bin.
+    return this->count_up_to(this->upper_bounds.size());
+}
+
+double histogram::sum() const
+{
+    return this->total.load(std::memory_order_relaxed);
+}
+
+std::span<double const> duration_bounds()
+{
+    static constexpr std::array bounds{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
+                                       0.2,    0.35,  0.5,   0.75,  1.0,  2.0,  5.0,  10.0};
+    return bounds;
+}
+
+template <class Metric>
+struct metrics_registry::series
+{
+    struct entry
+    {
+        metric_labels labels;
+        std::unique_ptr<Metric> metric;
+    };
+    std::map<std::string, entry> entries;
+
+    template <class... Arguments>
+    Metric& find_or_add(metric_labels labels, Arguments&&... arguments)
+    {
+        auto& slot = this->entries[label_text(labels)];
+        if (slot.metric == nullptr)
+        {
+            slot = {std::move(labels),
+                    std::make_unique<Metric>(std::forward<Arguments>(arguments)...)};
+        }
+        return *slot.metric;
+    }
+
+    void append_to(std::string const& name, std::string& out) const
+    {
+        for (auto const& [key, entry] : this->entries)
+        {
+            append_metric(name, entry.labels, *entry.metric, out);
+        }
+    }
+};
+
+struct metrics_registry::family
+{
+    std::string help;
+    std::string type;
+    series<counter> counters;
+    series<gauge> gauges;
+    series<histogram> histograms;
+};
+
+metrics_registry::metrics_registry() = default;
+metrics_registry::~metrics_registry() = default;
+
+metrics_registry::family& metrics_registry::family_of(std::string_view name, std::string_view help,
+                                                      std::string_view type)
+{
+    auto const found = this->families.find(name);
+    if (found != this->families.end())
+    {
+        return found->second;
+    }
+    auto& added = this->families[std::string(name)];
+    added.help = help;
+    added.type = type;
+    return added;
+}
+
+counter& metrics_registry::add_counter(std::string_view name, std::string_view help,
+                                       metric_labels labels)
+{
+    std::lock_guard const guard(this->lock);
+    return this->family_of(name, help, "counter").counters.find_or_add(std::move(labels));
+}
+
+gauge& metrics_registry::add_gauge(std::string_view name, std::string_view help,
+                                   metric_labels labels)
+{
+    std::lock_guard const guard(this->lock);
+    return this->family_of(name, help, "gauge").gauges.find_or_add(std::move(labels));
+}
+
+histogram& metrics_registry::add_histogram(std::string_view name, std::string_view help,
+                                           std::span<double const> bounds, metric_labels labels)
+{
+    std::lock_guard const guard(this->lock);
+    return this->family_of(name, help, "histogram")
+        .histograms.find_or_add(std::move(labels), bounds);
+}
+
+std::string metrics_registry::to_prometheus() const
+{
+    std::string out;
+    std::lock_guard const guard(this->lock);
+    for (auto const& [name, family] : this->families)
+    {
+        out.append("# HELP ").append(name).append(" ").append(family.help);
+        out.append("\n# TYPE ").append(name).append(" ").append(family.type).append("\n");
+        family.counters.append_to(name, out);
+        family.gauges.append_to(name, out);
+        family.histograms.append_to(name, out);
+    }
+    return out;
+}
+
+} // namespace filbertroad::telemetry
