Let an entry name peers for a start without the log

Cause: an entry that starts while the platform's log is down has no member to take the state from. Before/after: not measured; the settings tests pass.

--- a/filbertroad/settings/internal/table.hpp
+++ b/filbertroad/settings/internal/table.hpp
@@ -92,6 +92,13 @@
                         .member = &entry_settings::advertise_link,
                         .default_note = "`listen_link`",
                         .description = "Address that entries and agents are told."},
+    row<entry_settings>{.key = "peers",
+                        .what = kind::address,
+                        .member = &entry_settings::peers,
+                        .bounds = {0, 64},
+                        .default_note = "none",
+                        .description = "Link addresses of other entries, asked for the state "
+                                       "when this one starts while the log is down."},
     row<entry_settings>{.key = "log.address",
                         .what = kind::address,
                         .member = &entry_settings::log_address,
--- a/filbertroad/settings/settings.hpp
+++ b/filbertroad/settings/settings.hpp
@@ -39,6 +39,8 @@
     /// Addresses told to other processes; parse() sets them to the listen addresses when absent.
     std::string advertise_http;
     std::string advertise_link;
+    /// Link addresses of other entries, asked for the state when this one starts without the log.
+    std::vector<std::string> peers;
     std::string log_address;
     std::string log_stream = "control";
     /// Bearer token of operators.
