--- a/filbertroad/server/entry_core.cpp
+++ b/filbertroad/server/entry_core.cpp
@@ -191,12 +191,28 @@
     this->links.send_to_entry(entry, message);
 }
 
+void entry_core::submit_from_peer(model::process_id const& entry, wire::request request)
+{
+    auto& job = *request.mutable_submit()->mutable_job();
+    auto span = this->recorder.begin("own_submit", telemetry::span_kind::server, job.traceparent());
+    job.set_traceparent(span.traceparent());
+    auto const id = request.id();
+    this->requests.handle_peer(request,
+                               [this, entry, id, span = std::move(span)](wire::response answer)
+                               {
+                                   this->recorder.end(span, answer.has_error());
+                                   this->respond(entry, id, std::move(answer));
+                               });
+}
+
 void entry_core::entry_request(model::process_id const& entry, wire::request const& request)
 {
     wire::response response;
     switch (request.body_case())
     {
     case wire::request::kSubmit:
+        this->submit_from_peer(entry, request);
+        return;
     case wire::request::kQuery:
     case wire::request::kCancel:
     case wire::request::kAcknowledge:
--- a/filbertroad/server/entry_core.hpp
+++ b/filbertroad/server/entry_core.hpp
@@ -74,6 +74,8 @@
     void agent_message(model::process_id const& agent, std::uint64_t link,
                        wire::link_message& message);
     void entry_request(model::process_id const& entry, wire::request const& request);
+    /// Adds the span of this hop.
+    void submit_from_peer(model::process_id const& entry, wire::request request);
     void respond(model::process_id const& entry, std::uint64_t id, wire::response response);
     void state_changed(state_ptr const& state, control::applied const& applied);
     void probe_members();
