Confirm an entry only in views that most members have folded

Cause: an entry that joins while only it can read the log could serve beside a majority that goes on in outage mode. Conclusion: the rule comes from the control library.

--- a/filbertroad/server/control_controller.cpp
+++ b/filbertroad/server/control_controller.cpp
@@ -43,6 +43,7 @@
       shared_tables_changed(clock.system_now())
 {
     this->confirmation.set_members(wire::to_model(this->self.id()), {});
+    this->confirmation.require_acknowledged_views();
 }
 
 void control_controller::start()
@@ -119,7 +120,8 @@
     this->apply_page(result.value());
     if (this->current.next_offset() >= result.value().next)
     {
-        this->confirmation.log_read_finished(sent_at, this->current.next_offset());
+        this->confirmation.log_read_finished(sent_at, this->current.version());
+        this->last_complete_read = sent_at;
     }
     this->run_membership(now);
     this->refresh_confirmation(now);
@@ -170,6 +172,7 @@
 void control_controller::apply_record(std::uint64_t offset, wire::control_record const& record)
 {
     auto const applied = this->current.apply(offset, record, this->clock.system_now());
+    this->confirmation.state_advanced(this->current.version());
     this->events.record_applied(record, offset, applied);
     if (auto const id = change_id_of(record); !id.empty())
     {
@@ -238,10 +241,10 @@
     {
         return;
     }
-    bool const by_log = this->confirmation.is_confirmed(now) &&
-                        this->confirmation.source(now) == control::confirmation_source::log;
+    bool const log_confirmed = this->last_complete_read &&
+                               now - *this->last_complete_read <= control::confirmation_max_age;
     for (auto const& record :
-         this->membership.decide(this->current, by_log, now, this->clock.system_now()))
+         this->membership.decide(this->current, log_confirmed, now, this->clock.system_now()))
     {
         this->append(record);
     }
@@ -362,6 +365,13 @@
                       { this->membership.heard_from(entry, this->clock.steady_now()); });
 }
 
+void control_controller::peer_offset_seen(model::process_id const& entry,
+                                          std::uint64_t state_offset)
+{
+    boost::asio::post(this->strand, [this, entry, state_offset]
+                      { this->confirmation.peer_offset_seen(entry, state_offset); });
+}
+
 void control_controller::agent_linked(wire::agent const& agent)
 {
     boost::asio::post(this->strand, [this, agent]
@@ -415,6 +425,7 @@
                                   return;
                               }
                               this->current = std::move(restored).value();
+                              this->confirmation.state_advanced(this->current.version());
                               control::applied applied;
                               applied.outcome = control::apply_outcome::accepted;
                               applied.view_changed = true;
--- a/filbertroad/server/control_controller.hpp
+++ b/filbertroad/server/control_controller.hpp
@@ -26,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace filbertroad::server
@@ -92,6 +93,8 @@
                  std::chrono::milliseconds timeout, std::function<void(publish_result)> handler);
 
     void heard_from(model::process_id const& entry);
+    /// A pong of another entry named the offset of its state.
+    void peer_offset_seen(model::process_id const& entry, std::uint64_t state_offset);
     void agent_linked(wire::agent const& agent);
     void agent_unlinked(model::process_id const& agent);
     void set_linked_agents(std::size_t count);
@@ -145,6 +148,8 @@
     int reads_outstanding = 0;
     base::steady_time last_read{};
     base::steady_time last_probe{};
+    /// Sending time of the newest read that found no record after the state.
+    std::optional<base::steady_time> last_complete_read;
     bool stopped = false;
     control::confirmation_source last_source = control::confirmation_source::none;
 
--- a/filbertroad/server/entry_core.cpp
+++ b/filbertroad/server/entry_core.cpp
@@ -85,7 +85,7 @@
     }
     this->links.tick();
     this->peers.tick();
-    this->control_state.set_linked_agents(this->links.linked_agent_count());
+    this->control_state.set_linked_agents(this->links.linked_agent_count(control::agent_link_age));
     this->update_metrics();
 }
 
@@ -103,6 +103,8 @@
     { this->peers.link_closed(entry); };
     events.entry_heard = [this](model::process_id const& entry)
     { this->control_state.heard_from(entry); };
+    events.entry_pong = [this](model::process_id const& entry, wire::pong const& pong)
+    { this->control_state.peer_offset_seen(entry, pong.state_offset()); };
     events.entry_request = [this](model::process_id const& entry, wire::request const& request)
     { this->entry_request(entry, request); };
     events.entry_response = [this](model::process_id const& entry, wire::response& response)
--- a/filbertroad/server/entry_links.cpp
+++ b/filbertroad/server/entry_links.cpp
@@ -2,6 +2,7 @@
 
 #include "filbertroad/wire/process_ids.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace filbertroad::server
@@ -301,6 +302,10 @@
     {
         this->answer_ping(link, message.ping());
     }
+    else if (message.has_pong())
+    {
+        this->events.entry_pong(entry, message.pong());
+    }
     else if (message.has_request())
     {
         this->events.entry_request(entry, message.request());
@@ -445,10 +450,13 @@
     return result;
 }
 
-std::size_t entry_links::linked_agent_count() const
+std::size_t entry_links::linked_agent_count(std::chrono::milliseconds age) const
 {
+    auto const now = this->clock.steady_now();
     lock_guard const guard(this->lock);
-    return this->agents.size();
+    return static_cast<std::size_t>(std::count_if(
+        this->connections.begin(), this->connections.end(),
+        [&](auto const& item) { return item.second.agent && now - item.second.heard <= age; }));
 }
 
 net::link_counters entry_links::counters() const
--- a/filbertroad/server/entry_links.hpp
+++ b/filbertroad/server/entry_links.hpp
@@ -49,6 +49,7 @@
     std::function<void(model::process_id const&)> entry_unlinked;
     /// Any traffic of another entry.
     std::function<void(model::process_id const&)> entry_heard;
+    std::function<void(model::process_id const&, wire::pong const&)> entry_pong;
     std::function<void(model::process_id const&, wire::request const&)> entry_request;
     std::function<void(model::process_id const&, wire::response&)> entry_response;
     /// The state and its age, for the answer to a ping.
@@ -89,7 +90,8 @@
 
     [[nodiscard]] std::vector<model::process_id> linked_entries() const;
     [[nodiscard]] std::vector<linked_agent> linked_agents() const;
-    [[nodiscard]] std::size_t linked_agent_count() const;
+    /// Agents that were heard from within `age`.
+    [[nodiscard]] std::size_t linked_agent_count(std::chrono::milliseconds age) const;
     [[nodiscard]] net::link_counters counters() const;
 
 private:
--- a/filbertroad/server/entry_status.cpp
+++ b/filbertroad/server/entry_status.cpp
@@ -104,7 +104,7 @@
     metrics.add_gauge("filbertroad_confirmed", "1 while the control state is confirmed.")
         .set(this->control_state.is_confirmed() ? 1 : 0);
     metrics.add_gauge("filbertroad_linked_agents", "Agents with a link to this entry.")
-        .set(static_cast<double>(this->links.linked_agent_count()));
+        .set(static_cast<double>(this->links.linked_agent_count(control::agent_link_age)));
     wire::status_reply status;
     this->shard_objects.add_status(status);
     for (auto const& queue : status.queues())
