Run the HTTP front end in the entry and tell shards what moved their keys

Change: a shard's epoch changes only with the view, with the shard count of its service, or when a route moves to the service; a page of the log is applied as one change; handover goes in whole parts. Before/after: not measured yet; the sources compile. Conclusion: the lookup traffic at the planned size depends on moves of routes, not on all changes.

--- a/filbertroad/server/control_controller.cpp
+++ b/filbertroad/server/control_controller.cpp
@@ -32,6 +32,20 @@
     }
 }
 
+publish_result to_result(control::applied const& applied, std::uint64_t offset)
+{
+    switch (applied.outcome)
+    {
+    case control::apply_outcome::accepted:
+        return offset;
+    case control::apply_outcome::conflict:
+        return base::error<publish_error>{publish_error::conflict, applied.detail};
+    case control::apply_outcome::ignored:
+        break;
+    }
+    return base::error<publish_error>{publish_error::invalid, applied.detail};
+}
+
 } // namespace
 
 control_controller::control_controller(boost::asio::io_context& io, base::clock const& clock,
@@ -137,6 +151,8 @@
         this->events.probe_members();
         return;
     }
+    control::applied sum;
+    std::vector<std::function<void()>> settled;
     for (auto const& entry : page.records)
     {
         if (entry.offset < this->current.next_offset())
@@ -149,7 +165,16 @@
         {
             record.Clear();
         }
-        this->apply_record(entry.offset, record);
+        this->apply_record(entry.offset, record, sum, settled);
+    }
+    if (sum.outcome == control::apply_outcome::accepted)
+    {
+        this->publish_state(sum);
+    }
+    // Operators are told after the change is in force here.
+    for (auto const& tell : settled)
+    {
+        tell();
     }
 }
 
@@ -169,39 +194,27 @@
     return false;
 }
 
-void control_controller::apply_record(std::uint64_t offset, wire::control_record const& record)
+void control_controller::apply_record(std::uint64_t offset, wire::control_record const& record,
+                                      control::applied& sum,
+                                      std::vector<std::function<void()>>& settled)
 {
     auto const applied = this->current.apply(offset, record, this->clock.system_now());
     this->confirmation.state_advanced(this->current.version());
     this->events.record_applied(record, offset, applied);
-    if (auto const id = change_id_of(record); !id.empty())
-    {
-        this->settle_change(id, offset, applied, record);
-    }
     if (applied.outcome == control::apply_outcome::accepted)
     {
-        this->publish_state(applied);
+        sum.outcome = applied.outcome;
+        sum.view_changed = sum.view_changed || applied.view_changed;
+        sum.tables_changed = sum.tables_changed || applied.tables_changed;
+        sum.service_changed = sum.service_changed || applied.service_changed;
+        sum.agents_changed = sum.agents_changed || applied.agents_changed;
     }
-}
-
-void control_controller::settle_change(std::string const& id, std::uint64_t offset,
-                                       control::applied const& applied,
-                                       wire::control_record const& record)
-{
-    auto found = this->changes.extract(id);
-    if (found.empty())
+    auto found = this->changes.extract(change_id_of(record));
+    if (!found.empty())
     {
-        return;
-    }
-    if (applied.outcome == control::apply_outcome::accepted)
-    {
-        found.mapped().handler(offset);
-        return;
+        settled.push_back([handler = std::move(found.mapped().handler),
+                           result = to_result(applied, offset)] { handler(result); });
     }
-    auto const code = applied.outcome == control::apply_outcome::conflict ? publish_error::conflict
-                                                                          : publish_error::invalid;
-    (void)record;
-    found.mapped().handler(base::error<publish_error>{code, applied.detail});
 }
 
 void control_controller::publish_state(control::applied const& applied)
--- a/filbertroad/server/control_controller.hpp
+++ b/filbertroad/server/control_controller.hpp
@@ -28,6 +28,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace filbertroad::server
 {
@@ -123,9 +124,8 @@
     void read_finished(base::steady_time sent_at, net::read_result const& result);
     void apply_page(net::log_page const& page);
     bool restart_from_page(net::log_page const& page);
-    void apply_record(std::uint64_t offset, wire::control_record const& record);
-    void settle_change(std::string const& id, std::uint64_t offset, control::applied const& applied,
-                       wire::control_record const& record);
+    void apply_record(std::uint64_t offset, wire::control_record const& record,
+                      control::applied& sum, std::vector<std::function<void()>>& settled);
     void run_membership(base::steady_time now);
     void append(wire::control_record const& record);
     void expire_changes(base::steady_time now);
--- a/filbertroad/server/entry_core.cpp
+++ b/filbertroad/server/entry_core.cpp
@@ -16,8 +16,6 @@
 constexpr std::chrono::milliseconds lookup_timeout{1000};
 constexpr std::chrono::milliseconds probe_timeout{1000};
 constexpr std::chrono::milliseconds handover_timeout{3000};
-/// Answers are handed over in parts that stay well below the largest frame.
-constexpr std::size_t handover_part_bytes = 4UL * 1024 * 1024;
 
 wire::member make_self(settings::entry_settings const& settings, base::clock const& clock)
 {
@@ -338,27 +336,16 @@
             continue;
         }
         auto const receiver = wire::to_model(owner->id());
-        auto all = this->shard_objects.take_handover(id);
-        wire::handover part;
-        for (auto& job : *all.mutable_jobs())
+        for (auto part = this->shard_objects.take_handover(id); part.jobs_size() > 0;
+             part = this->shard_objects.take_handover(id))
         {
-            *part.add_jobs() = std::move(job);
-            if (part.ByteSizeLong() >= handover_part_bytes)
-            {
-                this->send_handover(receiver, std::exchange(part, {}));
-            }
+            this->send_handover(receiver, std::move(part));
         }
-        *part.mutable_requests() = std::move(*all.mutable_requests());
-        this->send_handover(receiver, std::move(part));
     }
 }
 
 void entry_core::send_handover(model::process_id const& owner, wire::handover part)
 {
-    if (part.jobs().empty() && part.requests().empty())
-    {
-        return;
-    }
     ++this->handovers_open;
     wire::request request;
     *request.mutable_handover() = std::move(part);
--- a/filbertroad/server/entry_process.cpp
+++ b/filbertroad/server/entry_process.cpp
@@ -1,8 +1,9 @@
 #include "filbertroad/server/entry_process.hpp"
 
+#include "filbertroad/api/http_api.hpp"
 #include "filbertroad/net/http.hpp"
+#include "filbertroad/server/entry_backend.hpp"
 #include "filbertroad/server/entry_core.hpp"
-#include "filbertroad/server/entry_front.hpp"
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/io_context.hpp>
@@ -27,6 +28,16 @@
 /// Time for the record of leaving to be read back, and for open HTTP requests to be answered.
 constexpr std::chrono::seconds farewell_limit{5};
 
+api::api_options make_api_options(settings::entry_settings const& settings,
+                                  wire::member const& self)
+{
+    api::api_options options;
+    options.operator_token = settings.operator_token;
+    options.change_id_prefix = self.id().name() + "-" + std::to_string(self.id().incarnation());
+    options.max_body_bytes = settings.max_body_bytes;
+    return options;
+}
+
 enum class stop_phase
 {
     running,
@@ -49,7 +60,8 @@
                    telemetry::event_log& log, telemetry::span_writer& spans)
         : settings(settings), clock(clock), log(log), io(static_cast<int>(settings.threads)),
           strand(boost::asio::make_strand(io)), signals(io), shard_timer(io), stop_timer(io),
-          core(io, settings, clock, log, spans), front(core, settings, log, spans)
+          core(io, settings, clock, log, spans), backend(core, settings.region),
+          front(backend, core.metrics(), log, clock, make_api_options(settings, core.self()))
     {
     }
 
@@ -75,7 +87,8 @@
     boost::asio::steady_timer shard_timer;
     boost::asio::steady_timer stop_timer;
     entry_core core;
-    entry_front front;
+    entry_backend backend;
+    api::http_api front;
     std::unique_ptr<net::http_server> http;
     stop_phase phase = stop_phase::running;
     base::steady_time phase_since{};
--- a/filbertroad/server/shard_registry.cpp
+++ b/filbertroad/server/shard_registry.cpp
@@ -96,7 +96,6 @@
     std::mutex shard_lock;
     submission::shard_owner owner;
     std::unordered_map<std::uint64_t, shard_handler> waiting;
-    std::uint64_t epoch = 0;
     bool is_owner = false;
     /// Newest link of each agent.
     std::unordered_map<model::process_id, std::uint64_t> agent_links;
@@ -211,68 +210,124 @@
     }
 }
 
-void shard_registry::apply_state(control::control_state const& state,
-                                 std::span<linked_agent const> linked)
+void shard_registry::note_tables(control::control_state const& state)
 {
-    std::set<std::string> services;
+    auto const newest = std::max(state.routes_version(), state.pools_version());
     for (auto const& pool : state.pools().pools())
     {
-        for (std::uint32_t shard = 0; shard < std::max(1U, pool.shards()); ++shard)
+        auto& service = this->services[pool.service()];
+        if (service.shards != std::max(1U, pool.shards()))
         {
-            this->create({pool.service(), shard});
+            service.shards = std::max(1U, pool.shards());
+            service.epoch = newest;
         }
-        services.insert(pool.service());
     }
-    for (auto const& agent : linked)
+    for (auto const& route : state.routes().routes())
     {
-        if (services.contains(agent.hello.target().service()))
+        auto const* const pool = state.find_pool(route.pool());
+        if (pool == nullptr)
+        {
+            continue;
+        }
+        auto const [known, is_new] =
+            this->route_services.try_emplace(route.name(), pool->service());
+        // A process that has just started cannot tell a new route from one that moved.
+        if ((is_new && !this->has_tables) || known->second != pool->service())
         {
-            this->agent_linked(state, agent);
+            auto& service = this->services[pool->service()];
+            service.epoch = newest;
+            service.routes_changed = true;
+            known->second = pool->service();
         }
     }
-    // A change of the tables can move keys between shards like a change of the view does.
-    auto const epoch = std::max({state.view(), state.routes_version(), state.pools_version()});
-    auto const wall = this->clock.system_now();
-    auto const teams = team_limits_of(state);
-    auto const self_member = std::find_if(state.members().begin(), state.members().end(),
-                                          [&](wire::member const& member)
-                                          { return wire::to_model(member.id()) == this->self; });
+    this->has_tables = this->has_tables || state.routes_version() > 0;
+}
+
+submission::ownership shard_registry::common_ownership(control::control_state const& state) const
+{
     submission::ownership common;
-    common.view = epoch;
-    common.leaving = self_member != state.members().end() && self_member->leaving();
-    common.removed = state.removed_since(wall - this->options.key_retention);
+    common.removed = state.removed_since(this->clock.system_now() - this->options.key_retention);
     for (auto const& member : state.members())
     {
         if (auto const id = wire::to_model(member.id()); id != this->self)
         {
             common.other_members.push_back(id);
         }
+        else
+        {
+            common.leaving = member.leaving();
+        }
+    }
+    return common;
+}
+
+void shard_registry::apply_state(control::control_state const& state,
+                                 std::span<linked_agent const> linked)
+{
+    this->note_tables(state);
+    for (auto const& [service, record] : this->services)
+    {
+        for (std::uint32_t shard = 0; shard < record.shards; ++shard)
+        {
+            this->create({service, shard});
+        }
+    }
+    for (auto const& agent : linked)
+    {
+        this->agent_linked(state, agent);
     }
+    auto const common = this->common_ownership(state);
     for (auto const& [id, shard] : this->all())
     {
-        auto ownership = common;
-        auto const owner = state.owner_of(id.service, id.shard);
-        ownership.is_owner = owner && wire::to_model(owner->id()) == this->self;
-        for (auto const& agent : state.agents_since(id.service, wall - this->options.key_retention))
+        this->apply_to_shard(state, id, *shard, common);
+    }
+    for (auto& [service, record] : this->services)
+    {
+        record.routes_changed = false;
+    }
+    this->applied_version = state.version();
+}
+
+void shard_registry::apply_to_shard(control::control_state const& state, shard_id const& id,
+                                    hosted_shard& shard, submission::ownership ownership)
+{
+    auto const& service = this->services[id.service];
+    auto const owner = state.owner_of(id.service, id.shard);
+    ownership.view = std::max(state.view(), service.epoch);
+    ownership.is_owner = owner && wire::to_model(owner->id()) == this->self;
+    ownership.shards = std::max(1U, service.shards);
+    std::set<model::process_id> registered;
+    for (auto const& agent : state.agents())
+    {
+        registered.insert(wire::to_model(agent.id()));
+    }
+    ownership.agents =
+        state.agents_since(id.service, this->clock.system_now() - this->options.key_retention);
+    for (auto const& agent : ownership.agents)
+    {
+        if (auto const name = wire::to_model(agent.id()); !registered.contains(name))
         {
-            ownership.agents.push_back(agent);
+            ownership.former_agents.push_back(name);
         }
-        this->run(id, *shard,
-                  [&](hosted_shard& hosted, base::steady_time now, base::system_time system)
-                  {
-                      hosted.epoch = epoch;
-                      hosted.is_owner = ownership.is_owner;
-                      hosted.owner.set_teams(teams);
-                      hosted.owner.set_ownership(ownership, now, system);
-                      for (auto const& [target, zone] : hosted.target_zones)
-                      {
-                          hosted.owner.set_target_in_service(target,
-                                                             state.zone(zone).in_service() &&
-                                                                 state.target(target).in_service(),
-                                                             now);
-                      }
-                  });
     }
+    auto const teams = team_limits_of(state);
+    this->run(id, shard,
+              [&](hosted_shard& hosted, base::steady_time now, base::system_time wall)
+              {
+                  hosted.is_owner = ownership.is_owner;
+                  hosted.owner.set_teams(teams);
+                  hosted.owner.set_ownership(ownership, now, wall);
+                  if (service.routes_changed)
+                  {
+                      hosted.owner.routes_changed(wall);
+                  }
+                  for (auto const& [target, zone] : hosted.target_zones)
+                  {
+                      hosted.owner.set_target_in_service(
+                          target,
+                          state.zone(zone).in_service() && state.target(target).in_service(), now);
+                  }
+              });
 }
 
 void shard_registry::agent_linked(control::control_state const& state, linked_agent const& agent)
@@ -441,16 +496,8 @@
 wire::lookup_reply shard_registry::answer_lookup(wire::lookup const& lookup) const
 {
     wire::lookup_reply result;
-    result.set_current(true);
-    auto const shards = this->all();
-    result.set_current(!shards.empty());
-    for (auto const& [id, shard] : shards)
-    {
-        std::lock_guard const guard(shard->shard_lock);
-        auto const reply = shard->owner.answer_lookup(lookup);
-        result.set_held(result.held() || reply.held());
-        result.set_current(result.current() && reply.current());
-    }
+    result.set_current(this->applied_version >= lookup.view());
+    result.set_held(this->find_holder(lookup.route(), lookup.key()).has_value());
     return result;
 }
 
--- a/filbertroad/server/shard_registry.hpp
+++ b/filbertroad/server/shard_registry.hpp
@@ -63,7 +63,8 @@
                    shard_senders senders);
     ~shard_registry();
 
-    /// Creates missing shards and tells all shards what the state says about them.
+    /// Creates missing shards and tells all shards what the state says about them. Call from one
+    /// strand.
     void apply_state(control::control_state const& state, std::span<linked_agent const> linked);
 
     /// News of a link that is older than the newest known link of the agent is ignored. A hello is
@@ -82,7 +83,8 @@
     bool cancel(shard_id const& id, wire::job_query const& query, shard_handler handler);
     bool acknowledge(shard_id const& id, wire::job_query const& query, shard_handler handler);
 
-    /// Whether any shard holds the key.
+    /// Whether any shard holds the key. The answer is current once everything up to the asker's
+    /// offset was applied here.
     [[nodiscard]] wire::lookup_reply answer_lookup(wire::lookup const& lookup) const;
     /// The shard that holds the key, if any does.
     [[nodiscard]] std::optional<shard_id> find_holder(std::string const& route,
@@ -102,6 +104,19 @@
     struct hosted_shard;
     using shard_ptr = std::shared_ptr<hosted_shard>;
 
+    /// What the tables said about a service when they were last applied.
+    struct service_record
+    {
+        std::uint32_t shards = 0;
+        /// Offset of the last change that moved keys to the service or between its shards.
+        std::uint64_t epoch = 0;
+        bool routes_changed = false;
+    };
+
+    void note_tables(control::control_state const& state);
+    submission::ownership common_ownership(control::control_state const& state) const;
+    void apply_to_shard(control::control_state const& state, shard_id const& id,
+                        hosted_shard& shard, submission::ownership ownership);
     shard_ptr find(shard_id const& id) const;
     std::vector<std::pair<shard_id, shard_ptr>> all() const;
     shard_ptr create(shard_id const& id);
@@ -120,6 +135,12 @@
     shard_senders senders;
     std::atomic<std::uint64_t> next_request{1};
 
+    /// Touched by apply_state only, which runs on one strand.
+    std::map<std::string, service_record> services;
+    std::map<std::string, std::string> route_services;
+    bool has_tables = false;
+    std::atomic<std::uint64_t> applied_version{0};
+
     /// Guards the maps only; each shard has its own lock.
     mutable std::shared_mutex lock;
     std::map<shard_id, shard_ptr> hosted;
