--- a/filbertroad/api/entry_service.hpp
+++ b/filbertroad/api/entry_service.hpp
@@ -5,8 +5,8 @@
 /// implements this interface; http_api checks each request and calls it.
 ///
 ///     class entry final : public api::entry_service { ... };
-///     api::http_api door(entry, context, options);
-///     net::http_server::listen(io, address, limits, door.handler());
+///     api::http_api door(entry, metrics, events, clock, options);
+///     door.handle(request, respond);
 ///
 /// Functions may be called from several threads. Each handler is called exactly once, from any
 /// thread, possibly before the function returns. Names, keys, tokens and sizes in the arguments
--- /dev/null
+++ b/filbertroad/api/internal/exchange.hpp
@@ -0,0 +1,68 @@
+#ifndef FILBERTROAD_API_INTERNAL_EXCHANGE_HPP
+#define FILBERTROAD_API_INTERNAL_EXCHANGE_HPP
+
+/// A request on its way through the filters; each filter adds what it found out.
+
+#include "filbertroad/api/entry_service.hpp"
+#include "filbertroad/net/http.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace filbertroad::api::internal
+{
+
+enum class operation
+{
+    submit,
+    query,
+    acknowledge,
+    cancel,
+    explain,
+    get_table,
+    put_table,
+    set_zone,
+    set_target,
+    get_status,
+    get_metrics,
+    get_page,
+};
+
+/// Whether an operation is for callers, with the token of a team, or for operators.
+[[nodiscard]] constexpr bool is_for_callers(operation what)
+{
+    return what <= operation::explain;
+}
+
+/// What the request asks for, once it has passed every check.
+using command = std::variant<std::monostate, wire::submit_request, wire::job_query, publish_request,
+                             service_request>;
+
+struct exchange
+{
+    net::http_request request;
+
+    // Set by parse_filter.
+    operation what = operation::get_status;
+    std::string route;
+    std::string key;
+    /// Name of the zone or target.
+    std::string name;
+    table_kind table = table_kind::routes;
+    std::uint32_t wait_ms = 0;
+    std::optional<std::uint64_t> base;
+    std::string change_id;
+    std::string author;
+
+    /// Set by authenticate_filter; empty for operators.
+    std::string team;
+
+    /// Set by validate_filter.
+    internal::command command;
+};
+
+} // namespace filbertroad::api::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/api/internal/http_api_fixture.hpp
@@ -0,0 +1,132 @@
+#ifndef FILBERTROAD_API_INTERNAL_HTTP_API_FIXTURE_HPP
+#define FILBERTROAD_API_INTERNAL_HTTP_API_FIXTURE_HPP
+
+/// A door with a service that answers what a test has set.
+
+#include "filbertroad/api/http_api.hpp"
+
+#include <gtest/gtest.h>
+
+namespace filbertroad::api::internal
+{
+
+inline constexpr std::string_view operator_token = "operator-token-1";
+inline constexpr std::string_view team_token = "team-token-1";
+inline constexpr std::string_view job_path = "/v1/routes/stock/jobs/1790000000000-a";
+
+/// Keeps what it is asked and answers what the test set.
+class fake_service final : public entry_service
+{
+public:
+    void submit(wire::submit_request request, job_handler handler) override
+    {
+        this->submitted = std::move(request);
+        handler(this->job_answer);
+    }
+    void query(wire::job_query query, job_handler handler) override
+    {
+        this->last_query = std::move(query);
+        handler(this->job_answer);
+    }
+    void cancel(wire::job_query query, job_handler handler) override
+    {
+        this->query(std::move(query), handler);
+    }
+    void acknowledge(wire::job_query query, job_handler handler) override
+    {
+        this->query(std::move(query), handler);
+    }
+    [[nodiscard]] std::optional<wire::team> team_by_token(std::string_view token) const override
+    {
+        wire::team team;
+        team.set_name("demo");
+        return token == team_token ? std::optional(team) : std::nullopt;
+    }
+    [[nodiscard]] versioned_table table(table_kind /*kind*/) const override
+    {
+        wire::pools_table pools;
+        pools.add_pools()->set_name("all");
+        return {pools, 7};
+    }
+    void publish(publish_request request, change_handler handler) override
+    {
+        this->published = std::move(request);
+        handler(this->change_answer);
+    }
+    void set_zone(service_request request, change_handler handler) override
+    {
+        this->changed = std::move(request);
+        handler(this->change_answer);
+    }
+    void set_target(service_request request, change_handler handler) override
+    {
+        this->set_zone(std::move(request), handler);
+    }
+    void status(status_handler handler) override
+    {
+        region_status status;
+        status.region = "<r>";
+        auto& entry = status.entries.emplace_back();
+        entry.mutable_entry()->mutable_id()->set_name("e1");
+        entry.add_queues()->set_oldest_ms(4321);
+        handler(status);
+    }
+
+    wire::response job_answer;
+    base::result<std::uint64_t, change_fault> change_answer = std::uint64_t{9};
+    wire::submit_request submitted;
+    wire::job_query last_query;
+    publish_request published;
+    service_request changed;
+};
+
+struct call
+{
+    std::string method;
+    std::string path;
+    std::string body = {};
+    std::string query = {};
+    std::string token = std::string(team_token);
+};
+
+class http_api_test : public testing::Test
+{
+protected:
+    net::http_response send(call const& call)
+    {
+        net::http_request request;
+        request.method = call.method;
+        request.path = call.path;
+        request.query = call.query;
+        request.body = call.body;
+        if (!call.token.empty())
+        {
+            request.headers.push_back({"Authorization", "Bearer " + call.token});
+        }
+        request.headers.push_back({"traceparent", this->traceparent});
+        net::http_response out;
+        out.status = 0;
+        this->door.handle(std::move(request),
+                          [&](net::http_response response) { out = std::move(response); });
+        return out;
+    }
+
+    fake_service service;
+    telemetry::metrics_registry metrics;
+    telemetry::null_event_log events;
+    base::manual_clock clock;
+    std::string traceparent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    http_api door{service,
+                  metrics,
+                  events,
+                  clock,
+                  {.operator_token = std::string(operator_token),
+                   .change_id_prefix = "e1-1",
+                   .max_body_bytes = 100'000,
+                   .team_rate = 1'000,
+                   .operator_rate = 1'000}};
+};
+
+} // namespace filbertroad::api::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/api/internal/parse_filter.cpp
@@ -0,0 +1,217 @@
+#include "filbertroad/api/internal/parse_filter.hpp"
+
+#include "filbertroad/model/job_key.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <vector>
+
+namespace filbertroad::api::internal
+{
+namespace
+{
+
+/// A path with `*` in place of a name, and what a method on it means.
+struct endpoint
+{
+    std::string_view method;
+    std::string_view path;
+    operation what;
+    table_kind table = table_kind::routes;
+};
+
+constexpr std::array endpoints{
+    endpoint{"PUT", "/v1/routes/*/jobs/*", operation::submit},
+    endpoint{"GET", "/v1/routes/*/jobs/*", operation::query},
+    endpoint{"DELETE", "/v1/routes/*/jobs/*", operation::acknowledge},
+    endpoint{"POST", "/v1/routes/*/jobs/*/cancel", operation::cancel},
+    endpoint{"GET", "/v1/routes/*/jobs/*/explain", operation::explain},
+    endpoint{"GET", "/v1/tables/routes", operation::get_table, table_kind::routes},
+    endpoint{"PUT", "/v1/tables/routes", operation::put_table, table_kind::routes},
+    endpoint{"GET", "/v1/tables/pools", operation::get_table, table_kind::pools},
+    endpoint{"PUT", "/v1/tables/pools", operation::put_table, table_kind::pools},
+    endpoint{"GET", "/v1/tables/teams", operation::get_table, table_kind::teams},
+    endpoint{"PUT", "/v1/tables/teams", operation::put_table, table_kind::teams},
+    endpoint{"PUT", "/v1/zones/*", operation::set_zone},
+    endpoint{"PUT", "/v1/targets/*", operation::set_target},
+    endpoint{"GET", "/v1/status", operation::get_status},
+    endpoint{"GET", "/metrics", operation::get_metrics},
+    endpoint{"GET", "/status", operation::get_page},
+};
+
+/// The first part of a path or query up to `separator`; `text` becomes the rest.
+std::string_view next_part(std::string_view& text, char separator)
+{
+    auto const end = std::min(text.find(separator), text.size());
+    auto const part = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    return part;
+}
+
+/// The names in place of `*`, or nothing if `path` does not have the form of `pattern`.
+std::optional<std::vector<std::string_view>> match(std::string_view path, std::string_view pattern)
+{
+    if (std::count(path.begin(), path.end(), '/') !=
+        std::count(pattern.begin(), pattern.end(), '/'))
+    {
+        return std::nullopt;
+    }
+    std::vector<std::string_view> names;
+    while (!pattern.empty())
+    {
+        auto const expected = next_part(pattern, '/');
+        auto const part = next_part(path, '/');
+        if (expected == "*")
+        {
+            names.push_back(part);
+        }
+        else if (part != expected)
+        {
+            return std::nullopt;
+        }
+    }
+    return path.empty() ? std::optional(std::move(names)) : std::nullopt;
+}
+
+std::optional<api_error> check_name(std::string_view field, std::string_view value)
+{
+    if (model::is_valid_name(value))
+    {
+        return std::nullopt;
+    }
+    return invalid(field, std::string(field) + " in the path must be 1 to 64 characters of "
+                                               "[A-Za-z0-9_.-]");
+}
+
+std::optional<api_error> take_names(exchange& request, std::vector<std::string_view> const& names)
+{
+    if (is_for_callers(request.what))
+    {
+        request.route = names[0];
+        request.key = names[1];
+        if (auto fault = check_name("route", request.route))
+        {
+            return fault;
+        }
+        if (auto const key = model::parse_key(request.key); !key)
+        {
+            return invalid("key", key.error().detail);
+        }
+    }
+    else if (!names.empty())
+    {
+        request.name = names[0];
+        return check_name(request.what == operation::set_zone ? "zone" : "target", request.name);
+    }
+    return std::nullopt;
+}
+
+/// Takes a query parameter; returns the reason if its value is malformed.
+std::string take_parameter(exchange& request, std::string_view name, std::string const& value)
+{
+    auto const parse = [&](auto& number)
+    {
+        auto const* const end = value.data() + value.size();
+        auto const parsed = std::from_chars(value.data(), end, number);
+        return parsed.ec == std::errc() && parsed.ptr == end;
+    };
+    if (name == "wait_ms")
+    {
+        bool const valid = parse(request.wait_ms) && request.wait_ms <= max_wait_ms;
+        return valid ? "" : "must be an integer of 0 to " + std::to_string(max_wait_ms);
+    }
+    if (name == "base")
+    {
+        return parse(request.base.emplace()) ? "" : "must be the version of the table, an integer";
+    }
+    auto& target = name == "change_id" ? request.change_id : request.author;
+    target = value;
+    return model::is_valid_name(target) ? "" : "must be 1 to 64 characters of [A-Za-z0-9_.-]";
+}
+
+bool takes_parameter(operation what, std::string_view name)
+{
+    switch (what)
+    {
+    case operation::submit:
+    case operation::query:
+    case operation::cancel:
+        return name == "wait_ms";
+    case operation::put_table:
+        return name == "base" || name == "change_id" || name == "author";
+    case operation::set_zone:
+    case operation::set_target:
+        return name == "change_id" || name == "author";
+    default:
+        return false;
+    }
+}
+
+std::optional<api_error> parse_query(exchange& request)
+{
+    std::string_view rest = request.request.query;
+    while (!rest.empty())
+    {
+        auto part = next_part(rest, '&');
+        auto const name = next_part(part, '=');
+        std::string reason = "is not a query parameter of this request";
+        std::string_view code = "unknown_field";
+        if (takes_parameter(request.what, name))
+        {
+            code = "invalid_request";
+            reason = take_parameter(request, name, request.request.query_value(name));
+        }
+        if (!reason.empty())
+        {
+            auto fault = invalid(name, "query parameter " + std::string(name) + " " + reason, code);
+            // The job itself may have been accepted under another query.
+            fault.ran = not_run::unknown;
+            return fault;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<api_error> parse_filter::check(exchange& request)
+{
+    std::string allowed;
+    for (auto const& endpoint : endpoints)
+    {
+        auto const names = match(request.request.path, endpoint.path);
+        if (!names)
+        {
+            continue;
+        }
+        if (endpoint.method != request.request.method)
+        {
+            allowed.append(allowed.empty() ? "" : ", ").append(endpoint.method);
+            continue;
+        }
+        request.what = endpoint.what;
+        request.table = endpoint.table;
+        auto fault = take_names(request, *names);
+        return fault ? fault : parse_query(request);
+    }
+    if (!allowed.empty())
+    {
+        return api_error{.status = 405,
+                         .code = "method_not_allowed",
+                         .detail = "this path takes " + allowed,
+                         .ran = not_run::unknown,
+                         .allow = allowed};
+    }
+    return api_error{.status = 404, .code = "not_found", .detail = "no such path; see docs/api.md"};
+}
+
+std::string_view to_string(operation what)
+{
+    constexpr std::array<std::string_view, 12> names{
+        "submit",    "query",    "acknowledge", "cancel",     "explain",     "get_table",
+        "put_table", "set_zone", "set_target",  "get_status", "get_metrics", "get_page"};
+    return names[static_cast<std::size_t>(what)];
+}
+
+} // namespace filbertroad::api::internal
--- /dev/null
+++ b/filbertroad/api/internal/token_bucket.hpp
@@ -0,0 +1,44 @@
+#ifndef FILBERTROAD_API_INTERNAL_TOKEN_BUCKET_HPP
+#define FILBERTROAD_API_INTERNAL_TOKEN_BUCKET_HPP
+
+/// A token bucket that holds at most one second's worth.
+
+#include "filbertroad/base/clock.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace filbertroad::api::internal
+{
+
+/// Not safe for several threads.
+class token_bucket
+{
+public:
+    /// `rate` is in tokens per second and at least 1; the bucket starts full.
+    token_bucket(double rate, base::steady_time now) : rate(rate), level(rate), filled(now) {}
+
+    /// Takes one token; returns zero, or the time until there is one.
+    std::chrono::milliseconds take(base::steady_time now)
+    {
+        std::chrono::duration<double> const elapsed = now - this->filled;
+        this->level = std::min(this->rate, this->level + elapsed.count() * this->rate);
+        this->filled = now;
+        if (this->level >= 1)
+        {
+            this->level -= 1;
+            return std::chrono::milliseconds(0);
+        }
+        std::chrono::duration<double> const missing((1 - this->level) / this->rate);
+        return std::chrono::ceil<std::chrono::milliseconds>(missing);
+    }
+
+private:
+    double rate;
+    double level;
+    base::steady_time filled;
+};
+
+} // namespace filbertroad::api::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/api/internal/validate_filter.hpp
@@ -0,0 +1,40 @@
+#ifndef FILBERTROAD_API_INTERNAL_VALIDATE_FILTER_HPP
+#define FILBERTROAD_API_INTERNAL_VALIDATE_FILTER_HPP
+
+/// Reads and checks the body of a request and makes the command for the service.
+
+#include "filbertroad/api/internal/api_error.hpp"
+#include "filbertroad/api/internal/exchange.hpp"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace filbertroad::api::internal
+{
+
+class validate_filter
+{
+public:
+    /// `id_prefix` makes change ids unique when operators give none; it must differ between
+    /// processes and their incarnations.
+    explicit validate_filter(std::string id_prefix)
+        : id_prefix(std::move(id_prefix)), next_id(std::make_unique<std::atomic<std::uint64_t>>(1))
+    {
+    }
+    std::optional<api_error> check(exchange& request);
+
+private:
+    std::optional<api_error> check_submit(exchange& request) const;
+    std::optional<api_error> check_table(exchange& request);
+    std::optional<api_error> check_service(exchange& request);
+    std::string change_id_of(exchange const& request);
+
+    std::string id_prefix;
+    std::unique_ptr<std::atomic<std::uint64_t>> next_id;
+};
+
+} // namespace filbertroad::api::internal
+
+#endif
