Add the control library: state fold, confirmation, membership

Cause: entries and agents need one deterministic control state, and a rule that tells whether it is the newest while the log is slow, down or cut off.

Agents that one entry cannot reach no longer cause a cycle of removals and registrations.

--- a/filbertroad/control/control_state.hpp
+++ b/filbertroad/control/control_state.hpp
@@ -20,9 +20,13 @@
 #include "filbertroad/wire/link.pb.h"
 #include "filbertroad/wire/record.pb.h"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -63,8 +67,11 @@
     /// Members and agents that were removed are remembered for this long; at least the retention
     /// of keys.
     static constexpr std::chrono::minutes removed_retention{30};
+    /// Most removed members that are remembered. They are forgotten by number and not by age,
+    /// because they decide which incarnations may join, and this must not depend on a clock.
+    static constexpr std::size_t max_removed_members = 1024;
 
-    /// Applies the record at `offset`, which must not be below next_offset(). `read_at` is the wall
+    /// Applies the record at `offset`; one below next_offset() is ignored. `read_at` is the wall
     /// clock of the reader; it is used for ages only and never for what is accepted.
     applied apply(std::uint64_t offset, wire::control_record const& record,
                   base::system_time read_at);
@@ -111,10 +118,92 @@
     /// Members that were removed (or replaced by a newer incarnation) since `since`.
     [[nodiscard]] std::vector<model::process_id> removed_since(base::system_time since) const;
 
+    /// Whether a vote of `voter` against `subject` counts in the current view.
+    [[nodiscard]] bool has_vote(model::process_id const& subject,
+                                model::process_id const& voter) const;
+    /// Whether this incarnation, or a newer one of the same name, was a member once and is not any
+    /// more. Such a process can join only with a newer incarnation.
+    [[nodiscard]] bool is_removed(model::process_id const& id) const;
+    /// Whether this agent was removed once and is remembered, also if it is registered again.
+    [[nodiscard]] bool was_agent_removed(model::process_id const& id) const;
+    /// Writer's time of the newest snapshot record that matched the state; empty if none was read.
+    [[nodiscard]] std::optional<base::system_time> newest_snapshot() const;
+
     /// The part that agents need.
     [[nodiscard]] wire::agent_state agent_state() const;
+
+private:
+    using service_states = std::map<std::string, wire::service_state, std::less<>>;
+    using name_index = std::map<std::string, int, std::less<>>;
+
+    applied apply_body(std::uint64_t offset, wire::control_record const& record,
+                       base::system_time read_at);
+    applied apply_table(std::uint64_t offset, wire::table_change const& change);
+    static applied apply_service(std::uint64_t offset, wire::service_change const& change,
+                                 service_states& states);
+    applied apply_joined(std::uint64_t offset, wire::member const& entry,
+                         base::system_time read_at);
+    applied apply_leaving(std::uint64_t offset, wire::process_id const& entry);
+    applied apply_left(std::uint64_t offset, wire::process_id const& entry,
+                       base::system_time read_at);
+    applied apply_vote(std::uint64_t offset, wire::removal_vote const& vote,
+                       base::system_time read_at);
+    applied apply_replaced(std::uint64_t offset, wire::view_replaced const& replaced,
+                           base::system_time read_at);
+    applied apply_agents_joined(wire::agents_joined const& joined, base::system_time read_at);
+    applied apply_agents_removed(wire::agents_removed const& removed, base::system_time read_at);
+    applied apply_snapshot(wire::control_record const& record);
+
+    [[nodiscard]] wire::member const* find_member(std::string_view name) const;
+    [[nodiscard]] std::uint64_t known_incarnation(std::string_view name) const;
+    [[nodiscard]] bool has_promise_majority(wire::view_replaced const& replaced) const;
+    void remove_member(std::uint64_t offset, model::process_id const& id,
+                       base::system_time read_at);
+    void change_view(std::uint64_t offset);
+    void remember_agent(wire::agent const& agent, base::system_time read_at);
+    void rebuild_indexes();
+
+    std::uint64_t version_offset = 0;
+    std::uint64_t next = 1;
+    std::uint64_t view_offset = 0;
+    wire::routes_table routes_content;
+    wire::pools_table pools_content;
+    wire::teams_table teams_content;
+    std::uint64_t routes_offset = 0;
+    std::uint64_t pools_offset = 0;
+    std::uint64_t teams_offset = 0;
+    name_index route_positions;
+    name_index pool_positions;
+    name_index team_positions;
+    name_index token_positions;
+    service_states zone_states;
+    service_states target_states;
+    /// Sorted by name.
+    std::vector<wire::member> member_list;
+    /// Sorted by name.
+    std::vector<wire::agent> agent_list;
+    std::vector<wire::removed_member> removed_members;
+    std::vector<wire::removed_agent> removed_agents;
+    /// Voters against each subject.
+    std::map<model::process_id, std::set<model::process_id>> votes;
+    std::optional<base::system_time> snapshot_written;
+};
+
+/// A record and its offset.
+struct positioned_record
+{
+    std::uint64_t offset = 0;
+    wire::control_record record;
 };
 
+/// The state to start from when the log has expired up to the first of `records`: that of the last
+/// snapshot record among them. The caller then applies the records from next_offset() on. The last
+/// one is taken because a snapshot that lost a race with another record is followed by a valid one,
+/// and the records between the last one and its `as_of` are usually still there to be applied.
+/// Empty if no record is a valid snapshot; the state is then taken from a peer.
+[[nodiscard]] std::optional<control_state>
+start_from_expired_log(std::span<positioned_record const> records);
+
 } // namespace filbertroad::control
 
 #endif
--- /dev/null
+++ b/filbertroad/control/control_state_test.cpp
@@ -0,0 +1,381 @@
+#include "filbertroad/control/control_state.hpp"
+
+#include "filbertroad/control/tables.hpp"
+#include "filbertroad/wire/process_ids.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace filbertroad::control
+{
+namespace
+{
+
+constexpr std::uint64_t start_unix_ms = 1'800'000'000'000;
+
+wire::process_id make_id(std::string const& name, std::uint64_t incarnation)
+{
+    return wire::to_wire(model::process_id{name, incarnation});
+}
+
+wire::control_record make_joined(std::string const& name, std::uint64_t incarnation)
+{
+    wire::control_record record;
+    auto* const entry = record.mutable_joined()->mutable_entry();
+    *entry->mutable_id() = make_id(name, incarnation);
+    entry->set_zone("khi-b");
+    return record;
+}
+
+wire::control_record make_vote(wire::process_id const& subject, wire::process_id const& voter)
+{
+    wire::control_record record;
+    *record.mutable_vote()->mutable_subject() = subject;
+    *record.mutable_vote()->mutable_voter() = voter;
+    return record;
+}
+
+/// A log that every reader can fold, and the state of a reader that folded all of it.
+struct log_model
+{
+    std::vector<positioned_record> records;
+    control_state state;
+
+    applied append(wire::control_record record)
+    {
+        // Gaps in the offsets stand for records of other writers that this program does not know.
+        auto const offset = this->state.next_offset() + this->records.size() % 2;
+        record.set_written_unix_ms(start_unix_ms + offset);
+        this->records.push_back({offset, record});
+        return this->state.apply(offset, record, read_time(offset));
+    }
+
+    static base::system_time read_time(std::uint64_t offset)
+    {
+        return base::from_unix_ms(start_unix_ms + offset);
+    }
+
+    /// Folds the records from `state.next_offset()` on.
+    [[nodiscard]] control_state fold(control_state state) const
+    {
+        for (auto const& [offset, record] : this->records)
+        {
+            if (offset >= state.next_offset())
+            {
+                state.apply(offset, record, read_time(offset));
+            }
+        }
+        return state;
+    }
+};
+
+class random_records
+{
+public:
+    explicit random_records(std::uint64_t seed) : random(seed) {}
+
+    std::uint64_t below(std::uint64_t limit) { return this->random() % limit; }
+
+    wire::control_record next(control_state const& state)
+    {
+        wire::control_record record;
+        switch (this->below(10))
+        {
+        case 0:
+            this->fill_table(state, *record.mutable_table());
+            break;
+        case 1:
+            this->fill_service(state.zones(), *record.mutable_zone());
+            break;
+        case 2:
+            this->fill_service(state.targets(), *record.mutable_target());
+            break;
+        case 3:
+            return make_joined(this->name(), 1 + this->below(6));
+        case 4:
+            *record.mutable_leaving()->mutable_entry() = this->member(state);
+            break;
+        case 5:
+            *record.mutable_left()->mutable_entry() = this->member(state);
+            break;
+        case 6:
+            return make_vote(this->member(state), this->member(state));
+        case 7:
+            this->fill_replaced(state, *record.mutable_replaced());
+            break;
+        case 8:
+            this->fill_agents(record);
+            break;
+        default:
+            *record.mutable_snapshot() = state.snapshot();
+            record.mutable_snapshot()->set_as_of(state.version() - (this->below(3) == 0 ? 1 : 0));
+        }
+        return record;
+    }
+
+private:
+    std::string name() { return std::string(1, static_cast<char>('a' + this->below(5))); }
+
+    wire::process_id member(control_state const& state)
+    {
+        if (state.members().empty() || this->below(4) == 0)
+        {
+            return make_id(this->name(), 1 + this->below(6));
+        }
+        return state.members()[this->below(state.members().size())].id();
+    }
+
+    void fill_table(control_state const& state, wire::table_change& change)
+    {
+        change.set_base(this->below(3) == 0 ? 0 : state.routes_version());
+        auto* const route = change.mutable_routes()->add_routes();
+        route->set_name(this->below(4) == 0 ? "not a name" : this->name());
+        route->set_pool(this->name());
+    }
+
+    void fill_service(std::vector<wire::service_state> const& known, wire::service_change& change)
+    {
+        change.set_name(this->name());
+        for (auto const& state : known)
+        {
+            if (state.name() == change.name() && this->below(3) != 0)
+            {
+                change.set_base(state.version());
+            }
+        }
+        change.set_in_service(this->below(2) == 0);
+    }
+
+    void fill_replaced(control_state const& state, wire::view_replaced& replaced)
+    {
+        replaced.set_base(this->below(3) == 0 ? 0 : state.view());
+        *replaced.add_removed() = this->member(state);
+        for (auto const& agent : state.agents())
+        {
+            if (this->below(4) != 0)
+            {
+                *replaced.add_promised_agents() = agent.id();
+            }
+        }
+    }
+
+    void fill_agents(wire::control_record& record)
+    {
+        auto const id = make_id(this->name(), 1 + this->below(3));
+        if (this->below(3) == 0)
+        {
+            *record.mutable_agents_out()->add_agents() = id;
+            return;
+        }
+        *record.mutable_agents_in()->add_agents()->mutable_id() = id;
+    }
+
+    std::mt19937_64 random;
+};
+
+// Guards against two processes that read the same log and act on different states.
+TEST(control_state_property, readers_from_any_start_reach_the_same_bytes)
+{
+    for (std::uint64_t seed = 1; seed <= 3000; ++seed)
+    {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        log_model log;
+        random_records random(seed);
+        std::vector<control_state> readers(1);
+        for (int step = 0; step < 60; ++step)
+        {
+            auto const before = log.state;
+            auto const record = random.next(before);
+            auto const applied = log.append(record);
+            ASSERT_GE(log.state.version(), before.version());
+            ASSERT_GE(log.state.view(), before.view());
+            ASSERT_GE(log.state.routes_version(), before.routes_version());
+            if (applied.outcome != apply_outcome::accepted || record.has_snapshot())
+            {
+                ASSERT_EQ(log.state.snapshot().SerializeAsString(),
+                          before.snapshot().SerializeAsString());
+            }
+            if (random.below(15) == 0)
+            {
+                readers.push_back(control_state::from_snapshot(log.state.snapshot()).value());
+            }
+        }
+        auto const expected = log.state.snapshot().SerializeAsString();
+        for (auto const& reader : readers)
+        {
+            ASSERT_EQ(log.fold(reader).snapshot().SerializeAsString(), expected);
+        }
+    }
+}
+
+// Guards against a reader that starts from a snapshot which lost a race and was ignored by others.
+TEST(control_state_property, a_reader_of_an_expired_log_starts_from_the_last_snapshot)
+{
+    for (std::uint64_t seed = 1; seed <= 1000; ++seed)
+    {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        log_model log;
+        random_records random(seed);
+        for (int step = 0; step < 40; ++step)
+        {
+            log.append(random.next(log.state));
+        }
+        wire::control_record snapshot;
+        *snapshot.mutable_snapshot() = log.state.snapshot();
+        log.append(make_joined("z", 1));
+        log.append(snapshot);
+        *snapshot.mutable_snapshot() = log.state.snapshot();
+        log.append(snapshot);
+        log.append(make_joined("z", 2));
+        auto const kept = std::span(log.records).last(2 + random.below(3));
+        auto const start = start_from_expired_log(kept);
+        ASSERT_TRUE(start);
+        ASSERT_EQ(log.fold(*start).snapshot().SerializeAsString(),
+                  log.state.snapshot().SerializeAsString());
+    }
+}
+
+// Guards against two operators that both believe that their change is in force.
+TEST(control_state_property, of_racing_changes_on_one_base_exactly_the_first_is_accepted)
+{
+    for (std::uint64_t seed = 1; seed <= 1000; ++seed)
+    {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        log_model log;
+        random_records random(seed);
+        for (int round = 0; round < 5; ++round)
+        {
+            auto const base = log.state.routes_version();
+            auto const racers = 2 + random.below(4);
+            std::size_t accepted = 0;
+            for (std::uint64_t racer = 0; racer < racers; ++racer)
+            {
+                wire::control_record record;
+                record.mutable_table()->set_base(base);
+                auto* const route = record.mutable_table()->mutable_routes()->add_routes();
+                route->set_name("r" + std::to_string(racer));
+                route->set_pool("p");
+                auto const outcome = log.append(record).outcome;
+                ASSERT_EQ(outcome, racer == 0 ? apply_outcome::accepted : apply_outcome::conflict);
+                accepted += outcome == apply_outcome::accepted ? 1 : 0;
+            }
+            ASSERT_EQ(accepted, 1U);
+            ASSERT_NE(log.state.find_route("r0"), nullptr);
+        }
+    }
+}
+
+template <class Table>
+std::string detail_of(Table const& table)
+{
+    auto const fault = find_fault(table);
+    return fault ? fault->detail : "";
+}
+
+// Guards against tables that pass the operators' door and are ignored by the readers of the log.
+TEST(tables, faults_name_the_entry_and_the_field)
+{
+    wire::pools_table pools;
+    for (auto const* name : {"fast", "slow"})
+    {
+        auto* const pool = pools.add_pools();
+        pool->set_name(name);
+        pool->set_service("kitrefill");
+        pool->set_shards(2);
+    }
+    EXPECT_EQ(detail_of(pools), "");
+    pools.mutable_pools(1)->set_shards(3);
+    EXPECT_EQ(detail_of(pools),
+              "pools[1] \"slow\", shards: other pools of service \"kitrefill\" have 2");
+    pools.mutable_pools(0)->set_shards(0);
+    EXPECT_EQ(detail_of(pools), "pools[0] \"fast\", shards: must be 1 to 4096");
+
+    wire::teams_table teams;
+    for (auto const* name : {"north", "south"})
+    {
+        auto* const team = teams.add_teams();
+        team->set_name(name);
+        team->set_token("secret");
+        team->set_weight(1);
+    }
+    EXPECT_EQ(detail_of(teams), "teams[1] \"south\", token: is the token of another team");
+    teams.mutable_teams(0)->set_weight(0);
+    EXPECT_EQ(detail_of(teams), "teams[0] \"north\", weight: must be at least 1");
+
+    log_model log;
+    wire::control_record record;
+    record.mutable_table()->mutable_routes()->add_routes()->set_name("a b");
+    auto const applied = log.append(record);
+    EXPECT_EQ(applied.outcome, apply_outcome::ignored);
+    EXPECT_EQ(applied.detail,
+              "routes[0] \"a b\", name: must be 1 to 64 characters of [A-Za-z0-9_.-]");
+    EXPECT_EQ(log.state.routes_version(), 0U);
+}
+
+// Guards against votes that remove a member which came back in a later view.
+TEST(control_state, votes_count_in_one_view_only)
+{
+    log_model log;
+    for (auto const* name : {"a", "b", "c", "d"})
+    {
+        log.append(make_joined(name, 1));
+    }
+    log.append(make_vote(make_id("d", 1), make_id("a", 1)));
+    log.append(make_vote(make_id("d", 1), make_id("b", 1)));
+    EXPECT_TRUE(log.state.is_member({"d", 1}));
+    log.append(make_joined("c", 2));
+    log.append(make_vote(make_id("d", 1), make_id("c", 2)));
+    EXPECT_TRUE(log.state.is_member({"d", 1}));
+    log.append(make_vote(make_id("d", 1), make_id("a", 1)));
+    log.append(make_vote(make_id("d", 1), make_id("b", 1)));
+    EXPECT_FALSE(log.state.is_member({"d", 1}));
+    EXPECT_EQ(log.state.removed_since(base::from_unix_ms(start_unix_ms)).size(), 2U);
+    EXPECT_EQ(log.append(make_joined("d", 1)).outcome, apply_outcome::ignored);
+    EXPECT_EQ(log.append(make_joined("d", 2)).outcome, apply_outcome::accepted);
+}
+
+// Guards against shards that move although their owner stays, and against a leaving owner.
+TEST(control_state, a_leaving_member_loses_exactly_its_shards)
+{
+    log_model log;
+    for (auto const* name : {"a", "b", "c"})
+    {
+        log.append(make_joined(name, 1));
+    }
+    auto const before = log.state;
+    wire::control_record leaving;
+    *leaving.mutable_leaving()->mutable_entry() = make_id("b", 1);
+    EXPECT_TRUE(log.append(leaving).view_changed);
+    std::size_t moved = 0;
+    for (std::uint32_t shard = 0; shard < 64; ++shard)
+    {
+        auto const old_owner = before.owner_of("kitrefill", shard)->id().name();
+        auto const new_owner = log.state.owner_of("kitrefill", shard)->id().name();
+        EXPECT_NE(new_owner, "b");
+        EXPECT_EQ(old_owner == "b", old_owner != new_owner);
+        moved += old_owner == "b" ? 1 : 0;
+    }
+    EXPECT_GT(moved, 0U);
+}
+
+// Guards against a recovery that does not ask an agent which may hold a ledger.
+TEST(control_state, removed_agents_are_remembered_for_recoveries)
+{
+    log_model log;
+    wire::control_record joined;
+    auto* const agent = joined.mutable_agents_in()->add_agents();
+    *agent->mutable_id() = make_id("g1", 1);
+    agent->set_service("kitrefill");
+    log.append(joined);
+    wire::control_record removed;
+    *removed.mutable_agents_out()->add_agents() = make_id("g1", 1);
+    EXPECT_TRUE(log.append(removed).agents_changed);
+    auto const past = base::from_unix_ms(start_unix_ms);
+    EXPECT_EQ(log.state.agents_since("kitrefill", past).size(), 1U);
+    EXPECT_EQ(log.state.agents_since("kitrefill", past + std::chrono::hours(1)).size(), 0U);
+    EXPECT_TRUE(log.state.agents().empty());
+}
+
+} // namespace
+} // namespace filbertroad::control
--- /dev/null
+++ b/filbertroad/control/internal/membership_round.hpp
@@ -0,0 +1,44 @@
+#ifndef FILBERTROAD_CONTROL_INTERNAL_MEMBERSHIP_ROUND_HPP
+#define FILBERTROAD_CONTROL_INTERNAL_MEMBERSHIP_ROUND_HPP
+
+/// What the sources of membership share.
+
+#include "filbertroad/control/membership.hpp"
+
+#include <string>
+#include <vector>
+
+namespace filbertroad::control
+{
+namespace internal
+{
+
+[[nodiscard]] inline std::string describe(model::process_id const& id)
+{
+    return id.name + "/" + std::to_string(id.incarnation);
+}
+
+} // namespace internal
+
+/// One call of decide().
+struct membership::round
+{
+    control_state const& state;
+    base::steady_time now;
+    base::system_time wall;
+    /// Members heard within the silence bounds, this entry included.
+    std::vector<model::process_id> alive;
+    bool majority_alive = false;
+    std::vector<wire::control_record> records;
+
+    wire::control_record& add()
+    {
+        auto& record = this->records.emplace_back();
+        record.set_written_unix_ms(base::to_unix_ms(this->wall));
+        return record;
+    }
+};
+
+} // namespace filbertroad::control
+
+#endif
--- a/filbertroad/control/membership.hpp
+++ b/filbertroad/control/membership.hpp
@@ -9,11 +9,22 @@
 ///     membership.heard_from(peer, now);
 ///     for (auto& record : membership.decide(state, confirmed_by_log, now)) log.append(record);
 ///
+/// Rules that keep a replaced view and the outage mode of entries that were cut off apart: a member
+/// votes only while it hears more than half of the members; while it hears fewer, it registers only
+/// agents whose names are known (any, if none is registered) and removes none, so that the agents
+/// that may promise are those that the other members count as well.
+///
 /// Not safe for several threads.
 
 #include "filbertroad/control/control_state.hpp"
 
 #include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace filbertroad::control
@@ -53,7 +64,15 @@
     /// All jobs and answers of this entry have been passed on.
     void finish_leaving();
 
-    /// Records to append now. Call at least every 200 ms and after each record read.
+    /// Whether the current view is settled, as entry_confirmation::is_view_settled() tells. While
+    /// it is not, this entry does not join under a new name (unless no member can be heard), casts
+    /// no votes and appends no snapshot. Two views then differ by at most one member whenever
+    /// entries that were cut off may still be in outage mode, so that their majorities have a
+    /// member in common. True until it is set.
+    void set_view_settled(bool settled);
+
+    /// Records to append now. Call at least every 200 ms and after each record read; a longer gap
+    /// counts as a pause of this process, after which silence is measured anew.
     /// `log_confirmed` is true while this entry's own log reads succeed.
     [[nodiscard]] std::vector<wire::control_record> decide(control_state const& state,
                                                            bool log_confirmed,
@@ -62,6 +81,64 @@
 
     /// Promises to ask agents for; empty if none are needed.
     [[nodiscard]] std::optional<wire::promise_request> promises_wanted() const;
+
+private:
+    /// A registered agent or a linked one, seen from this entry.
+    struct agent_view
+    {
+        wire::agent registration;
+        bool linked = false;
+        /// The state holds exactly this registration.
+        bool registered = false;
+        /// The state holds this name with a newer incarnation.
+        bool replaced = false;
+        /// The state holds this name.
+        bool name_known = false;
+        /// Time of the last change of `linked`, or of the first sight.
+        base::steady_time since;
+        /// This entry appended a removal, and has seen its effect.
+        bool removal_appended = false;
+        bool removed_here = false;
+    };
+
+    /// One call of decide().
+    struct round;
+
+    void notice_pause(base::steady_time now);
+    void update_members(control_state const& state, base::steady_time now);
+    void update_agents(control_state const& state, base::steady_time now);
+    void compare_agent(control_state const& state, model::process_id const& id, agent_view& view);
+    void decide_own(round& round);
+    [[nodiscard]] bool may_join(round const& round) const;
+    void decide_votes(round& round);
+    void decide_replacement(round& round);
+    void decide_agents_joined(round& round);
+    void decide_agents_removed(round& round);
+    void decide_snapshot(round& round);
+    void add_replacement(round& round, std::vector<model::process_id> const& missing);
+    [[nodiscard]] std::chrono::milliseconds turn_delay(round const& round,
+                                                       std::string_view subject) const;
+    [[nodiscard]] bool is_due(std::string const& record, base::steady_time now);
+
+    wire::member self;
+    model::process_id own_id;
+    membership_options options;
+    bool leaving = false;
+    bool left = false;
+    bool view_settled = true;
+    std::map<model::process_id, base::steady_time> heard;
+    std::map<model::process_id, agent_view> agents;
+    /// Records that were appended and whose effect has not been read back, by a name of the effect.
+    std::map<std::string, base::steady_time> appended;
+    /// Version of the state that `agents` was compared with; empty after a change of an agent.
+    std::optional<std::uint64_t> agents_version;
+    std::optional<base::steady_time> last_round;
+    std::optional<base::steady_time> snapshot_due_since;
+    std::optional<base::steady_time> last_batch;
+    std::optional<wire::promise_request> wanted;
+    /// View that the promises are for, and the members that each agent promised to refuse.
+    std::uint64_t promised_view = 0;
+    std::map<model::process_id, std::set<model::process_id>> promises;
 };
 
 } // namespace filbertroad::control
--- /dev/null
+++ b/filbertroad/control/partition_test.cpp
@@ -0,0 +1,308 @@
+// Confirmation and membership together, under cuts, pauses and losses of the log.
+
+#include "filbertroad/control/region_simulation.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace filbertroad::control
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Three entries and six agents in three zones, all registered.
+region_simulation make_region()
+{
+    region_simulation region;
+    for (auto const* zone : {"a", "b", "c"})
+    {
+        region.add_entry(std::string("e") + zone, zone);
+        region.add_agent(std::string("g1") + zone, zone);
+        region.add_agent(std::string("g2") + zone, zone);
+    }
+    region.run(seconds(5));
+    EXPECT_EQ(region.fold().members().size(), 3U);
+    EXPECT_EQ(region.fold().agents().size(), 6U);
+    return region;
+}
+
+std::size_t count_confirmed(region_simulation const& region)
+{
+    std::size_t count = 0;
+    for (auto const& [name, entry] : region.entries)
+    {
+        count += region.confirmed(name) ? 1 : 0;
+    }
+    return count;
+}
+
+void set_log(region_simulation& region, bool reachable)
+{
+    for (auto& [name, entry] : region.entries)
+    {
+        entry->log_reachable = reachable;
+    }
+}
+
+// Guards against a stop of all work when the platform's log is down.
+TEST(partition, log_down_for_everyone_keeps_all_entries_confirmed)
+{
+    auto region = make_region();
+    set_log(region, false);
+    region.run(seconds(3600));
+    EXPECT_EQ(count_confirmed(region), 3U);
+    EXPECT_EQ(region.source("ea"), confirmation_source::outage);
+    set_log(region, true);
+    region.run(seconds(1));
+    EXPECT_EQ(region.source("ea"), confirmation_source::log);
+    EXPECT_EQ(region.fold().members().size(), 3U);
+}
+
+// Guards against a zone that goes on with an old state after it was cut off.
+TEST(partition, a_zone_without_log_and_links_stops_and_the_others_go_on)
+{
+    auto region = make_region();
+    region.entries.at("ea")->log_reachable = false;
+    region.cut_zone("a");
+    region.run(seconds(10));
+    EXPECT_FALSE(region.confirmed("ea"));
+    EXPECT_TRUE(region.confirmed("eb"));
+    EXPECT_EQ(region.fold().members().size(), 2U);
+    EXPECT_EQ(region.violation, "");
+}
+
+// Guards against a stop when only the way to the log is lost.
+TEST(partition, a_zone_without_log_is_confirmed_through_the_others)
+{
+    auto region = make_region();
+    region.entries.at("ea")->log_reachable = false;
+    region.run(seconds(10));
+    EXPECT_EQ(region.source("ea"), confirmation_source::peer);
+    // A change reaches the zone as well.
+    wire::control_record record;
+    record.mutable_zone()->set_name("b");
+    region.log.push_back(record);
+    region.run(milliseconds(300));
+    EXPECT_FALSE(region.entries.at("ea")->state.zone("b").in_service());
+    EXPECT_TRUE(region.confirmed("ea"));
+}
+
+// Guards against removals that a cut between two zones does not need.
+TEST(partition, a_cut_between_two_zones_removes_nobody)
+{
+    for (bool const one_way : {true, false})
+    {
+        auto region = make_region();
+        region.cut("ea", "eb");
+        if (!one_way)
+        {
+            region.cut("eb", "ea");
+        }
+        region.run(seconds(20));
+        EXPECT_EQ(region.fold().members().size(), 3U) << one_way;
+        EXPECT_EQ(count_confirmed(region), 3U) << one_way;
+    }
+}
+
+// Guards against a paused member that votes everybody out or acts on its old view when it resumes.
+TEST(partition, a_paused_member_is_removed_and_joins_again_only_as_a_new_incarnation)
+{
+    auto region = make_region();
+    region.entries.at("eb")->paused = true;
+    region.run(seconds(4));
+    EXPECT_EQ(region.fold().members().size(), 2U);
+    EXPECT_FALSE(region.confirmed("eb"));
+    region.entries.at("eb")->paused = false;
+    region.run(seconds(4));
+    EXPECT_EQ(region.fold().members().size(), 2U);
+    EXPECT_TRUE(region.entries.at("eb")->state.is_removed(region.entries.at("eb")->id()));
+    region.add_entry("eb", "b");
+    region.run(seconds(4));
+    EXPECT_EQ(region.fold().members().size(), 3U);
+    EXPECT_EQ(count_confirmed(region), 3U);
+    EXPECT_EQ(region.violation, "");
+}
+
+// Guards against a region that stays without owners when all its entries were replaced at once.
+TEST(partition, entries_that_were_all_replaced_are_removed_with_promises)
+{
+    auto region = make_region();
+    region.entries.clear();
+    for (auto const* zone : {"a", "b", "c"})
+    {
+        region.add_entry(std::string("new-e") + zone, zone);
+    }
+    region.run(seconds(15));
+    EXPECT_EQ(region.fold().members().size(), 3U);
+    EXPECT_EQ(count_confirmed(region), 3U);
+    EXPECT_TRUE(std::any_of(region.log.begin(), region.log.end(),
+                            [](auto const& record) { return record.has_replaced(); }));
+    EXPECT_EQ(region.violation, "");
+}
+
+// Guards against records that are appended for ever, and against those given up after one loss.
+TEST(partition, lost_appends_are_repeated_and_effective_ones_are_not)
+{
+    region_simulation region;
+    region.appends_to_lose = 4;
+    region.add_entry("ea", "a");
+    region.add_entry("eb", "b");
+    region.add_entry("ec", "c");
+    region.add_agent("g1", "a");
+    region.run(seconds(20));
+    EXPECT_EQ(region.fold().members().size(), 3U);
+    EXPECT_EQ(region.fold().agents().size(), 1U);
+    auto const records = region.log.size();
+    region.run(seconds(300));
+    EXPECT_EQ(region.log.size(), records);
+    region.run(seconds(600));
+    EXPECT_EQ(region.log.size(), records + 1) << "one snapshot";
+}
+
+// Guards against removals and registrations of one agent that take turns without end.
+TEST(partition, an_agent_that_one_entry_cannot_reach_causes_few_records)
+{
+    auto region = make_region();
+    for (auto const& [name, agent] : region.agents)
+    {
+        region.cut_both("ea", name);
+    }
+    auto const records = region.log.size();
+    region.run(seconds(300));
+    EXPECT_EQ(region.fold().agents().size(), 6U);
+    EXPECT_LE(region.log.size(), records + 4 * region.agents.size());
+}
+
+// Guards against silent members that no vote removes because half of the members is gone.
+TEST(partition, one_of_two_members_is_removed_with_promises)
+{
+    region_simulation region;
+    region.add_entry("ea", "a");
+    region.add_entry("eb", "b");
+    region.add_agent("g1", "a");
+    region.run(seconds(5));
+    region.entries.erase("eb");
+    region.run(seconds(10));
+    EXPECT_EQ(region.fold().members().size(), 1U);
+    EXPECT_TRUE(region.confirmed("ea"));
+}
+
+class random_faults
+{
+public:
+    explicit random_faults(std::uint64_t seed) : random(seed) {}
+
+    template <class Map>
+    auto& pick(Map& map)
+    {
+        return *std::next(map.begin(), static_cast<std::ptrdiff_t>(this->below(map.size())));
+    }
+
+    region_simulation make_region()
+    {
+        region_simulation region;
+        auto const entries = 2 + this->below(4);
+        for (std::uint64_t index = 0; index < entries; ++index)
+        {
+            region.add_entry("e" + std::to_string(index), this->zone());
+        }
+        auto const agents = 1 + this->below(6);
+        for (std::uint64_t index = 0; index < agents; ++index)
+        {
+            region.add_agent("g" + std::to_string(index), this->zone());
+        }
+        region.run(seconds(4));
+        return region;
+    }
+
+    void apply(region_simulation& region)
+    {
+        auto& entry = *this->pick(region.entries).second;
+        switch (this->below(8))
+        {
+        case 0:
+            region.cut_zone(this->zone());
+            break;
+        case 1:
+            region.cut(this->any_name(region), this->any_name(region));
+            break;
+        case 2:
+            region.cuts.clear();
+            break;
+        case 3:
+            set_log(region, this->below(2) == 0);
+            break;
+        case 4:
+            this->set_zone_log(region, this->zone(), this->below(2) == 0);
+            break;
+        case 5:
+            entry.paused = !entry.paused;
+            break;
+        case 6:
+            region.add_entry(entry.self.id().name(), entry.self.zone());
+            break;
+        default:
+            region.add_entry("n" + std::to_string(this->below(3)), this->zone());
+        }
+    }
+
+    std::uint64_t below(std::uint64_t limit) { return this->random() % limit; }
+
+private:
+    std::string zone() { return std::string(1, static_cast<char>('a' + this->below(3))); }
+
+    std::string any_name(region_simulation& region)
+    {
+        return this->below(2) == 0 ? this->pick(region.entries).first
+                                   : this->pick(region.agents).first;
+    }
+
+    void set_zone_log(region_simulation& region, std::string const& zone, bool reachable)
+    {
+        for (auto& [name, entry] : region.entries)
+        {
+            if (entry->self.zone() == zone)
+            {
+                entry->log_reachable = reachable;
+            }
+        }
+    }
+
+    std::mt19937_64 random;
+};
+
+// Guards against two owners of one shard: an entry that relies on an old view, by outage mode or
+// otherwise, after another entry was confirmed in a newer view.
+TEST(partition_property, no_entry_relies_on_a_view_after_a_newer_one_was_confirmed)
+{
+    std::size_t outages = 0;
+    std::size_t replacements = 0;
+    for (std::uint64_t seed = 1; seed <= 400; ++seed)
+    {
+        random_faults faults(seed);
+        auto region = faults.make_region();
+        for (int step = 0; step < 15; ++step)
+        {
+            faults.apply(region);
+            region.run(milliseconds(100 * (1 + faults.below(60))));
+            ASSERT_EQ(region.violation, "") << "seed " << seed;
+            for (auto const& [name, entry] : region.entries)
+            {
+                outages += region.source(name) == confirmation_source::outage ? 1 : 0;
+            }
+        }
+        replacements += static_cast<std::size_t>(std::count_if(region.log.begin(), region.log.end(),
+                                                               [](auto const& record)
+                                                               { return record.has_replaced(); }));
+    }
+    EXPECT_GT(outages, 100U) << "the schedules no longer reach outage mode";
+    EXPECT_GT(replacements, 20U) << "the schedules no longer replace views";
+}
+
+} // namespace
+} // namespace filbertroad::control
--- /dev/null
+++ b/filbertroad/control/region_simulation.hpp
@@ -0,0 +1,383 @@
+#ifndef FILBERTROAD_CONTROL_REGION_SIMULATION_HPP
+#define FILBERTROAD_CONTROL_REGION_SIMULATION_HPP
+
+/// A region in simulated time for tests: entries with their real control state, confirmation and
+/// membership, agents that ping and promise as the agent core does, one log, and directed links
+/// that a test cuts.
+///
+///     region_simulation region;
+///     region.add_entry("e1", "lhr-a");
+///     region.add_agent("g1", "lhr-a");
+///     region.run(std::chrono::seconds(5));
+///     region.cut("e1", "e2");
+
+#include "filbertroad/control/confirmation.hpp"
+#include "filbertroad/control/membership.hpp"
+#include "filbertroad/wire/process_ids.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace filbertroad::control
+{
+
+struct simulated_entry
+{
+    wire::member self;
+    control_state state;
+    entry_confirmation confirmation;
+    control::membership membership;
+    std::map<std::string, base::steady_time> heard_agents;
+    bool paused = false;
+    bool log_reachable = true;
+
+    simulated_entry(wire::member member)
+        : self(member), membership(std::move(member), membership_options{})
+    {
+        this->confirmation.require_acknowledged_views();
+    }
+
+    [[nodiscard]] model::process_id id() const { return wire::to_model(this->self.id()); }
+};
+
+struct simulated_agent
+{
+    wire::agent registration;
+    std::map<std::string, base::steady_time> heard_entries;
+    /// Newest view that an entry told.
+    std::uint64_t view = 0;
+    /// Entries that the agent promised to refuse, and the view of the promise. The agent keeps no
+    /// link with them until a newer view has them as members.
+    std::map<model::process_id, std::uint64_t> refused;
+
+    void learn(control_state const& state)
+    {
+        if (state.view() > this->view)
+        {
+            this->view = state.view();
+            std::erase_if(this->refused, [&](auto const& item)
+                          { return state.view() > item.second && state.is_member(item.first); });
+        }
+    }
+};
+
+class region_simulation
+{
+public:
+    static constexpr std::chrono::milliseconds step_time{100};
+
+    std::map<std::string, std::unique_ptr<simulated_entry>> entries;
+    std::map<std::string, simulated_agent> agents;
+    std::vector<wire::control_record> log;
+    /// Directed links that are cut: from, to.
+    std::set<std::pair<std::string, std::string>> cuts;
+    /// Number of appends that will be lost. An entry cannot tell a lost append from one that took
+    /// effect until it reads the log, since no append is acknowledged to it here.
+    int appends_to_lose = 0;
+    base::steady_time now{std::chrono::hours(1)};
+    /// First time at which an entry was confirmed in a view at least this new.
+    std::map<std::uint64_t, base::steady_time> first_confirmed;
+    /// Set when an entry relied on an older view after another was confirmed in a newer one.
+    std::string violation;
+
+    simulated_entry& add_entry(std::string const& name, std::string const& zone)
+    {
+        wire::member member;
+        member.mutable_id()->set_name(name);
+        member.mutable_id()->set_incarnation(++this->incarnations);
+        member.set_zone(zone);
+        return *(this->entries[name] = std::make_unique<simulated_entry>(member));
+    }
+
+    void add_agent(std::string const& name, std::string const& zone)
+    {
+        auto& agent = this->agents[name];
+        agent.registration.mutable_id()->set_name(name);
+        agent.registration.mutable_id()->set_incarnation(1);
+        agent.registration.set_zone(zone);
+        agent.registration.set_service("kitrefill");
+    }
+
+    void cut(std::string const& from, std::string const& to) { this->cuts.emplace(from, to); }
+    void cut_both(std::string const& left, std::string const& right)
+    {
+        this->cut(left, right);
+        this->cut(right, left);
+    }
+
+    /// Cuts every link between processes of the zone and those of other zones.
+    void cut_zone(std::string const& zone)
+    {
+        auto const names = this->zones_by_name();
+        for (auto const& [left, left_zone] : names)
+        {
+            for (auto const& [right, right_zone] : names)
+            {
+                if ((left_zone == zone) != (right_zone == zone))
+                {
+                    this->cut(left, right);
+                }
+            }
+        }
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        for (auto end = this->now + time; this->now < end;)
+        {
+            this->now += step_time;
+            this->step();
+        }
+    }
+
+    [[nodiscard]] bool confirmed(std::string const& name) const
+    {
+        return this->entries.at(name)->confirmation.is_confirmed(this->now);
+    }
+
+    [[nodiscard]] confirmation_source source(std::string const& name) const
+    {
+        return this->entries.at(name)->confirmation.source(this->now);
+    }
+
+    /// The state of a reader of the whole log.
+    [[nodiscard]] control_state fold() const
+    {
+        control_state state;
+        for (auto const& record : this->log)
+        {
+            state.apply(state.next_offset(), record, this->wall());
+        }
+        return state;
+    }
+
+private:
+    [[nodiscard]] bool reaches(std::string const& from, std::string const& to) const
+    {
+        return !this->cuts.contains({from, to});
+    }
+
+    [[nodiscard]] bool is_linked(std::string const& left, std::string const& right) const
+    {
+        return this->reaches(left, right) && this->reaches(right, left);
+    }
+
+    [[nodiscard]] base::system_time wall() const
+    {
+        return base::system_time(std::chrono::hours(24 * 365 * 55)) +
+               std::chrono::duration_cast<std::chrono::milliseconds>(this->now.time_since_epoch());
+    }
+
+    [[nodiscard]] std::map<std::string, std::string> zones_by_name() const
+    {
+        std::map<std::string, std::string> names;
+        for (auto const& [name, entry] : this->entries)
+        {
+            names[name] = entry->self.zone();
+        }
+        for (auto const& [name, agent] : this->agents)
+        {
+            names[name] = agent.registration.zone();
+        }
+        return names;
+    }
+
+    void step()
+    {
+        this->exchange_pings();
+        for (auto& [name, entry] : this->entries)
+        {
+            if (!entry->paused)
+            {
+                this->step_entry(name, *entry);
+            }
+        }
+        this->check();
+    }
+
+    void exchange_pings()
+    {
+        for (auto& [agent_name, agent] : this->agents)
+        {
+            for (auto& [entry_name, entry] : this->entries)
+            {
+                auto& heard = agent.heard_entries[entry_name];
+                // A silent link is closed by the agent; a new one needs both directions.
+                bool const open = this->now - heard <= std::chrono::milliseconds(1500) ||
+                                  this->is_linked(agent_name, entry_name);
+                if (!open || entry->paused || agent.refused.contains(entry->id()))
+                {
+                    continue;
+                }
+                if (this->reaches(agent_name, entry_name))
+                {
+                    entry->heard_agents[agent_name] = this->now;
+                    if (this->reaches(entry_name, agent_name))
+                    {
+                        heard = this->now;
+                        agent.learn(entry->state);
+                    }
+                }
+            }
+        }
+    }
+
+    void step_entry(std::string const& name, simulated_entry& entry)
+    {
+        if (entry.log_reachable)
+        {
+            this->read_log(entry);
+        }
+        else
+        {
+            entry.confirmation.log_read_failed(this->now);
+        }
+        this->update_agents(entry);
+        this->exchange_with_peers(name, entry);
+        entry.membership.set_view_settled(entry.confirmation.is_view_settled(this->now));
+        auto const records =
+            entry.membership.decide(entry.state, entry.log_reachable, this->now, this->wall());
+        for (auto const& record : records)
+        {
+            if (this->appends_to_lose > 0)
+            {
+                --this->appends_to_lose;
+                continue;
+            }
+            this->log.push_back(record);
+        }
+        this->collect_promises(name, entry);
+    }
+
+    void read_log(simulated_entry& entry)
+    {
+        auto const view = entry.state.view();
+        while (entry.state.next_offset() <= this->log.size())
+        {
+            auto const offset = entry.state.next_offset();
+            entry.state.apply(offset, this->log[offset - 1], this->wall());
+        }
+        this->state_changed(entry, view);
+        entry.confirmation.log_read_finished(this->now, entry.state.version());
+    }
+
+    static void state_changed(simulated_entry& entry, std::uint64_t old_view)
+    {
+        entry.confirmation.state_advanced(entry.state.version());
+        if (entry.state.view() != old_view)
+        {
+            entry.confirmation.set_members(entry.id(), entry.state.members());
+        }
+    }
+
+    void update_agents(simulated_entry& entry)
+    {
+        std::size_t linked = 0;
+        for (auto const& [name, heard] : entry.heard_agents)
+        {
+            auto const& registration = this->agents.at(name).registration;
+            auto const id = wire::to_model(registration.id());
+            if (this->now - heard > agent_link_age)
+            {
+                entry.membership.agent_unlinked(id, this->now);
+                continue;
+            }
+            entry.membership.agent_linked(registration, this->now);
+            auto const agents = entry.state.agents();
+            linked +=
+                std::any_of(agents.begin(), agents.end(),
+                            [&](auto const& agent) { return wire::to_model(agent.id()) == id; })
+                    ? 1
+                    : 0;
+        }
+        entry.confirmation.set_linked_agents(linked, entry.state.agents().size());
+    }
+
+    void exchange_with_peers(std::string const& name, simulated_entry& entry)
+    {
+        for (auto& [peer_name, peer] : this->entries)
+        {
+            if (peer_name == name || peer->paused)
+            {
+                continue;
+            }
+            if (this->reaches(peer_name, name))
+            {
+                entry.membership.heard_from(peer->id(), this->now);
+            }
+            if (this->is_linked(name, peer_name) &&
+                entry.confirmation.probe_answered(
+                    peer->id(), peer->confirmation.answer_probe(this->now), this->now))
+            {
+                auto const view = entry.state.view();
+                entry.state = control_state::from_snapshot(peer->state.snapshot()).value();
+                state_changed(entry, view);
+            }
+        }
+    }
+
+    void collect_promises(std::string const& name, simulated_entry& entry)
+    {
+        auto const wanted = entry.membership.promises_wanted();
+        if (!wanted)
+        {
+            return;
+        }
+        for (auto& [agent_name, agent] : this->agents)
+        {
+            if (!this->is_linked(name, agent_name) || agent.view > wanted->view() ||
+                agent.refused.contains(entry.id()))
+            {
+                continue;
+            }
+            wire::promise promise;
+            promise.set_view(wanted->view());
+            *promise.mutable_agent() = agent.registration.id();
+            for (auto const& missing : wanted->missing())
+            {
+                if (this->now - agent.heard_entries[missing.name()] >= std::chrono::seconds(3))
+                {
+                    *promise.add_missing() = missing;
+                    agent.refused[wire::to_model(missing)] = wanted->view();
+                }
+            }
+            entry.membership.promise_received(promise);
+        }
+    }
+
+    void check()
+    {
+        for (auto const& [name, entry] : this->entries)
+        {
+            if (entry->paused || !entry->confirmation.is_confirmed(this->now) ||
+                !entry->state.is_member(entry->id()))
+            {
+                continue;
+            }
+            auto const as_of = this->now - *entry->confirmation.age(this->now);
+            auto const newer = this->first_confirmed.upper_bound(entry->state.view());
+            for (auto next = newer; next != this->first_confirmed.end(); ++next)
+            {
+                if (as_of > next->second && this->violation.empty())
+                {
+                    this->violation = name + " relied on view " +
+                                      std::to_string(entry->state.view()) + " after view " +
+                                      std::to_string(next->first) + " was confirmed";
+                }
+            }
+            this->first_confirmed.try_emplace(entry->state.view(), this->now);
+        }
+    }
+
+    std::uint64_t incarnations = 0;
+};
+
+} // namespace filbertroad::control
+
+#endif
