--- a/filbertroad/submission/agents.cpp
+++ b/filbertroad/submission/agents.cpp
@@ -31,20 +31,6 @@
     }
 }
 
-internal::task_answer to_answer(internal::agent_record const& agent,
-                                wire::task_result const& result)
-{
-    internal::task_answer answer;
-    answer.outcome =
-        result.outcome() == wire::outcome_unset ? wire::outcome_may_have_run : result.outcome();
-    answer.body = result.body();
-    answer.reason = result.reason();
-    answer.target = result.target().empty() ? agent.target.name() : result.target();
-    answer.run_time_us = result.run_time_us();
-    answer.started_unix_ms = result.started_unix_ms();
-    return answer;
-}
-
 } // namespace
 
 bool shard_owner::state::is_of_this_shard(std::string_view key) const
@@ -148,7 +134,12 @@
         this->queue.task_finished({held.number, task.index()}, ending.finish,
                                   std::chrono::microseconds(result.run_time_us()), this->now);
     }
-    this->settle(*owner, task.index(), ending.event, to_answer(agent, result));
+    auto answer = internal::to_answer(result);
+    if (answer.target.empty())
+    {
+        answer.target = agent.target.name();
+    }
+    this->settle(*owner, task.index(), ending.event, std::move(answer));
 }
 
 internal::job* shard_owner::state::recovered_job(wire::ledger_entry const& entry)
@@ -169,14 +160,10 @@
     {
         return nullptr;
     }
-    auto& added = this->jobs.add(id, key.value().created, entry.job_digest(), entry.task_count(),
-                                 entry.team());
-    this->open_tasks += entry.task_count();
+    auto& added = this->add_job(id, key.value().created, entry.job_digest(), entry.task_count(),
+                                entry.team());
     added.content->interrupted_at = this->now;
-    for (std::uint32_t i = 0; i < entry.task_count(); ++i)
-    {
-        this->apply(added, i, internal::task_event::interrupted);
-    }
+    this->interrupt_tasks(added);
     this->ledger_jobs.emplace(added.serial, &added);
     this->note(added, internal::whole_job, internal::history_event::recovered);
     return &added;
--- a/filbertroad/submission/handover.cpp
+++ b/filbertroad/submission/handover.cpp
@@ -98,42 +98,42 @@
             }
             state.remove_job(*known);
         }
-        auto& added = state.jobs.add(id, key.value().created, request.digest(), report.task_count(),
-                                     request.team());
-        state.open_tasks += report.task_count();
-        added.content->submitted = true;
-        added.content->repeatable = request.repeatable();
-        state.note(added, internal::whole_job, internal::history_event::handed_over);
-        for (std::uint32_t index = 0; index < report.task_count(); ++index)
+        state.add_handed_over(report, request, key.value().created);
+    }
+}
+
+void shard_owner::state::add_handed_over(wire::job_report const& report,
+                                         wire::job_request const& request,
+                                         base::system_time created)
+{
+    auto& added = this->add_job({report.route(), report.key()}, created, request.digest(),
+                                report.task_count(), request.team());
+    added.content->submitted = true;
+    added.content->repeatable = request.repeatable();
+    this->note(added, internal::whole_job, internal::history_event::handed_over);
+    auto const acknowledged = report.results_size() == 0;
+    for (std::uint32_t index = 0; index < report.task_count(); ++index)
+    {
+        internal::task_answer answer;
+        if (acknowledged)
         {
-            internal::task_answer answer;
-            if (acknowledged)
-            {
-                answer.outcome = report.state() == wire::job_state_complete
-                                     ? wire::outcome_succeeded
-                                     : wire::outcome_failed;
-            }
-            else
-            {
-                auto const& result = report.results(static_cast<int>(index));
-                answer.outcome = result.outcome();
-                answer.body = result.body();
-                answer.reason = result.reason();
-                answer.target = result.target();
-                answer.run_time_us = result.run_time_us();
-                answer.started_unix_ms = result.started_unix_ms();
-            }
-            auto const events = events_of(answer.outcome);
-            if (events.size() > 1)
-            {
-                state.apply(added, index, events.front());
-            }
-            state.settle(added, index, events.back(), std::move(answer));
+            answer.outcome = report.state() == wire::job_state_complete ? wire::outcome_succeeded
+                                                                        : wire::outcome_failed;
         }
-        if (acknowledged)
+        else
         {
-            state.jobs.forget_answers(added);
+            answer = internal::to_answer(report.results(static_cast<int>(index)));
         }
+        auto const events = events_of(answer.outcome);
+        if (events.size() > 1)
+        {
+            this->apply(added, index, events.front());
+        }
+        this->settle(added, index, events.back(), std::move(answer));
+    }
+    if (acknowledged)
+    {
+        this->jobs.forget_answers(added);
     }
 }
 
--- a/filbertroad/submission/internal/job.hpp
+++ b/filbertroad/submission/internal/job.hpp
@@ -31,6 +31,9 @@
     std::uint64_t started_unix_ms = 0;
 };
 
+/// The answer without the identity of the task; an answer without outcome is uncertain.
+[[nodiscard]] task_answer to_answer(wire::task_result const& result);
+
 struct task
 {
     task_state state = task_state::queued;
--- a/filbertroad/submission/internal/owner_state.hpp
+++ b/filbertroad/submission/internal/owner_state.hpp
@@ -2,8 +2,9 @@
 #define FILBERTROAD_SUBMISSION_INTERNAL_OWNER_STATE_HPP
 
 /// The state of a shard owner. Its functions are grouped by subject: ownership and time
-/// (ownership.cpp), requests (requests.cpp), inquiries (inquiries.cpp), tasks (tasks.cpp), agents
-/// and ledgers (agents.cpp), handover and reports (handover.cpp, report.cpp).
+/// (ownership.cpp), submissions (requests.cpp), queries (queries.cpp), inquiries (inquiries.cpp),
+/// tasks (tasks.cpp), agents and ledgers (agents.cpp), handover (handover.cpp), reports
+/// (report.cpp).
 
 #include "filbertroad/submission/internal/agent_table.hpp"
 #include "filbertroad/submission/internal/inquiry.hpp"
@@ -35,8 +36,12 @@
     void advance(base::steady_time now, base::system_time wall);
     [[nodiscard]] base::system_time wall() const;
     void set_ownership(ownership const& current);
+    void update_agents();
     void tick();
+    void reject_expired();
+    void answer_due();
     void dispatch();
+    void send(internal::job& owner, scheduling::task_id const& id, internal::agent_record& agent);
     /// Whether new keys are accepted and interrupted jobs go on.
     [[nodiscard]] bool is_serving() const;
     /// Whether no other process can have accepted a key created at `created` before `change`.
@@ -52,6 +57,12 @@
                       bool cleared);
     void accept(std::uint64_t number, internal::submit_call const& call, base::system_time created);
     void resume(std::uint64_t number, internal::submit_call const& call, internal::job& known);
+    /// Copies what the tasks that have not ended need from the caller's request.
+    void fill(internal::job& owner, internal::submit_call const& call);
+    void undo_fill(internal::job& owner);
+    /// Answers or holds a query for a key that is not known here.
+    void answer_unknown(std::uint64_t number, model::job_id const& id, base::system_time created,
+                        internal::call const& call, bool cleared);
     /// Finds the job of a query, or answers or holds the request and returns null.
     internal::job* find_for(std::uint64_t number, internal::call const& call,
                             wire::job_query const& query, bool cleared, bool may_act);
@@ -76,6 +87,9 @@
     void refuse_inquiries();
 
     // Tasks.
+    internal::job& add_job(model::job_id id, base::system_time created, std::string digest,
+                           std::uint32_t task_count, std::string_view team);
+    void interrupt_tasks(internal::job& owner);
     bool apply(internal::job& owner, std::uint32_t index, internal::task_event event);
     void note(internal::job& owner, std::uint32_t index, internal::history_event event,
               std::string_view target = {}, wire::refusal refusal = wire::refusal_unset);
@@ -114,7 +128,9 @@
     void ask_about_adopted();
     [[nodiscard]] bool is_of_this_shard(std::string_view key) const;
 
-    // Reports.
+    // Reports and handover.
+    void add_handed_over(wire::job_report const& report, wire::job_request const& request,
+                         base::system_time created);
     [[nodiscard]] wire::job_report report(internal::job const& reported, bool with_history) const;
     void add_answers(internal::job const& reported, wire::job_report& out) const;
     void add_history(internal::job const& reported, wire::job_report& out) const;
--- a/filbertroad/submission/internal/recovery.hpp
+++ b/filbertroad/submission/internal/recovery.hpp
@@ -29,7 +29,9 @@
     model::job_id job;
     std::uint32_t index = 0;
 
-    friend auto operator<=>(task_identity const&, task_identity const&) = default;
+    // clang-tidy 14 takes the generated comparison with zero for a null pointer.
+    friend auto operator<=>(task_identity const&,
+                            task_identity const&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 struct recovery_times
--- a/filbertroad/submission/ownership.cpp
+++ b/filbertroad/submission/ownership.cpp
@@ -84,12 +84,7 @@
     this->has_ownership = true;
     this->removed = std::find(current.removed.begin(), current.removed.end(), this->self) !=
                     current.removed.end();
-    this->agents.set_registered(current.agents, current.former_agents, this->now);
-    this->lose_replaced_and_silent();
-    for (auto& [id, agent] : this->agents.all())
-    {
-        this->announce_target(agent);
-    }
+    this->update_agents();
     if (owns(before) && !owns(current))
     {
         this->fences.ownership_lost();
@@ -121,25 +116,49 @@
     this->settle_inquiries();
 }
 
+void shard_owner::state::update_agents()
+{
+    this->agents.set_registered(this->owned.agents, this->owned.former_agents, this->now);
+    this->lose_replaced_and_silent();
+    for (auto& [id, agent] : this->agents.all())
+    {
+        this->announce_target(agent);
+    }
+}
+
 void shard_owner::state::tick()
 {
     this->lose_replaced_and_silent();
     this->fences.expire(this->agents, this->now);
     this->ask_about_adopted();
-    if (this->confirmed && !this->removed)
+    this->reject_expired();
+    this->tick_inquiries();
+    this->answer_due();
+    this->jobs.expire(this->wall());
+    this->agents.remove_unused();
+}
+
+void shard_owner::state::reject_expired()
+{
+    // A later owner may have started what an unconfirmed owner still sees in its queue.
+    if (!this->confirmed || this->removed)
     {
-        std::vector<scheduling::rejection> rejections;
-        this->queue.expire(this->now, rejections);
-        for (auto const& rejection : rejections)
+        return;
+    }
+    std::vector<scheduling::rejection> rejections;
+    this->queue.expire(this->now, rejections);
+    for (auto const& rejection : rejections)
+    {
+        if (auto* const owner = this->jobs.find_number(rejection.task.job))
         {
-            if (auto* const owner = this->jobs.find_number(rejection.task.job))
-            {
-                this->settle(*owner, rejection.task.index, internal::task_event::rejected,
-                             wire::outcome_not_run, rejection.reason);
-            }
+            this->settle(*owner, rejection.task.index, internal::task_event::rejected,
+                         wire::outcome_not_run, rejection.reason);
         }
     }
-    this->tick_inquiries();
+}
+
+void shard_owner::state::answer_due()
+{
     while (auto const due = this->waiting.due(this->now))
     {
         auto const request = this->waiting.take(*due);
@@ -156,8 +175,6 @@
         }
         this->out.answer(*due, this->report(*known, request->with_history));
     }
-    this->jobs.expire(this->wall());
-    this->agents.remove_unused();
 }
 
 void shard_owner::state::dispatch()
@@ -183,22 +200,27 @@
             this->queue.task_finished(id, scheduling::finish::cancelled, {}, this->now);
             continue;
         }
-        auto const& content = *owner->content;
-        auto& sent = owner->content->tasks[id.index];
-        sent.agent = agent;
-        sent.adopted = false;
-        agent->tasks[id] = 0;
-        send_start start{.agent = agent->id, .start = {}};
-        *start.start.mutable_task() = wire::make_task_ref(owner->id, id.index);
-        start.start.set_payload(sent.payload);
-        start.start.set_job_digest(owner->digest);
-        start.start.set_task_count(owner->task_count);
-        start.start.set_team(this->jobs.name_of(owner->team));
-        start.start.set_timeout_ms(static_cast<std::uint32_t>(content.task_timeout.count()));
-        start.start.set_traceparent(content.traceparent);
-        this->out.add(std::move(start));
-        this->note(*owner, id.index, internal::history_event::sent, assignment.target);
+        this->send(*owner, id, *agent);
     }
 }
 
+void shard_owner::state::send(internal::job& owner, scheduling::task_id const& id,
+                              internal::agent_record& agent)
+{
+    auto const& content = *owner.content;
+    auto& sent = owner.content->tasks[id.index];
+    sent.agent = &agent;
+    agent.tasks[id] = 0;
+    send_start start{.agent = agent.id, .start = {}};
+    *start.start.mutable_task() = wire::make_task_ref(owner.id, id.index);
+    start.start.set_payload(sent.payload);
+    start.start.set_job_digest(owner.digest);
+    start.start.set_task_count(owner.task_count);
+    start.start.set_team(this->jobs.name_of(owner.team));
+    start.start.set_timeout_ms(static_cast<std::uint32_t>(content.task_timeout.count()));
+    start.start.set_traceparent(content.traceparent);
+    this->out.add(std::move(start));
+    this->note(owner, id.index, internal::history_event::sent, agent.target.name());
+}
+
 } // namespace filbertroad::submission
--- a/filbertroad/submission/report.cpp
+++ b/filbertroad/submission/report.cpp
@@ -2,6 +2,24 @@
 
 namespace filbertroad::submission
 {
+namespace internal
+{
+
+task_answer to_answer(wire::task_result const& result)
+{
+    task_answer answer;
+    answer.outcome =
+        result.outcome() == wire::outcome_unset ? wire::outcome_may_have_run : result.outcome();
+    answer.body = result.body();
+    answer.reason = result.reason();
+    answer.target = result.target();
+    answer.run_time_us = result.run_time_us();
+    answer.started_unix_ms = result.started_unix_ms();
+    return answer;
+}
+
+} // namespace internal
+
 namespace
 {
 
--- a/filbertroad/submission/requests.cpp
+++ b/filbertroad/submission/requests.cpp
@@ -31,20 +31,6 @@
                            { return sum + spec.payload().size(); });
 }
 
-/// Copies what the tasks need from the caller's request.
-void fill(internal::job& owner, internal::submit_call const& call)
-{
-    auto const& request = call.request.job();
-    auto& content = *owner.content;
-    content.traceparent = request.traceparent();
-    content.needs.assign(request.needs().begin(), request.needs().end());
-    content.placement = call.limits.placement;
-    content.task_timeout = call.limits.task_timeout;
-    content.deadline = std::chrono::milliseconds(request.deadline_ms());
-    content.repeatable = request.repeatable();
-    content.submitted = true;
-}
-
 } // namespace
 
 void shard_owner::state::handle(std::uint64_t number, internal::call const& call, bool cleared)
@@ -160,38 +146,60 @@
            this->options.max_bytes;
 }
 
+void shard_owner::state::fill(internal::job& owner, internal::submit_call const& call)
+{
+    auto const& request = call.request.job();
+    auto& content = *owner.content;
+    content.traceparent = request.traceparent();
+    content.needs.assign(request.needs().begin(), request.needs().end());
+    content.placement = call.limits.placement;
+    content.task_timeout = call.limits.task_timeout;
+    content.deadline = std::chrono::milliseconds(request.deadline_ms());
+    content.repeatable = request.repeatable();
+    content.submitted = true;
+    for (std::uint32_t i = 0; i < owner.task_count; ++i)
+    {
+        auto& held = content.tasks[i];
+        if (!internal::is_ended(held.state))
+        {
+            held.payload = request.tasks(static_cast<int>(i)).payload();
+            this->jobs.hold(owner, held.payload.size());
+        }
+    }
+}
+
+void shard_owner::state::undo_fill(internal::job& owner)
+{
+    owner.content->submitted = false;
+    for (auto& held : owner.content->tasks)
+    {
+        this->jobs.release(owner, held.payload.size());
+        std::string().swap(held.payload);
+    }
+}
+
 void shard_owner::state::accept(std::uint64_t number, internal::submit_call const& call,
                                 base::system_time created)
 {
     auto const& request = call.request.job();
     auto const count = static_cast<std::uint32_t>(request.tasks_size());
-    auto const bytes = payload_bytes(request);
     // Starts of removed members are in doubt only for keys that those members may hold.
     auto const in_doubt = !this->is_after(created, this->changed_at) &&
                           this->fences.is_in_doubt(created, this->agents);
-    if (!this->has_room_for(bytes, count))
+    if (!this->has_room_for(payload_bytes(request), count))
     {
         this->out.refuse(number, in_doubt ? error_code::outcome_unknown : error_code::memory_full,
                          "payloads and answers held reach the limit of " +
                              std::to_string(this->options.max_bytes) + " bytes");
         return;
     }
-    auto& added = this->jobs.add({request.route(), request.key()}, created, request.digest(), count,
-                                 request.team());
-    this->open_tasks += count;
-    fill(added, call);
-    this->jobs.hold(added, bytes);
-    for (std::uint32_t i = 0; i < count; ++i)
-    {
-        added.content->tasks[i].payload = request.tasks(static_cast<int>(i)).payload();
-    }
+    auto& added = this->add_job({request.route(), request.key()}, created, request.digest(), count,
+                                request.team());
+    this->fill(added, call);
     this->note(added, internal::whole_job, internal::history_event::accepted);
     if (in_doubt)
     {
-        for (std::uint32_t i = 0; i < count; ++i)
-        {
-            this->apply(added, i, internal::task_event::interrupted);
-        }
+        this->interrupt_tasks(added);
         this->end_interrupted(added);
         this->answer_or_wait(number, added, call.request.wait_ms(), false);
         return;
@@ -219,17 +227,11 @@
         this->out.refuse(number, error_code::key_reused, "the job has another number of tasks");
         return;
     }
-    fill(known, call);
+    this->fill(known, call);
     std::vector<std::uint32_t> rest;
     for (std::uint32_t i = 0; i < known.task_count; ++i)
     {
-        auto& held = known.content->tasks[i];
-        if (!internal::is_ended(held.state))
-        {
-            held.payload = request.tasks(static_cast<int>(i)).payload();
-            this->jobs.hold(known, held.payload.size());
-        }
-        if (held.state == internal::task_state::interrupted)
+        if (known.content->tasks[i].state == internal::task_state::interrupted)
         {
             rest.push_back(i);
         }
@@ -245,13 +247,8 @@
     auto const admitted = this->admit(known, rest);
     if (!admitted)
     {
-        known.content->submitted = false;
+        this->undo_fill(known);
         this->ledger_jobs.emplace(known.serial, &known);
-        for (auto& held : known.content->tasks)
-        {
-            this->jobs.release(known, held.payload.size());
-            held.payload = {};
-        }
         this->out.answer(number, internal::make_error(error_code::rest_not_admitted,
                                                       admitted.error().detail,
                                                       admitted.error().retry_after));
@@ -264,159 +261,4 @@
     this->answer_or_wait(number, known, call.request.wait_ms(), false);
 }
 
-internal::job* shard_owner::state::find_for(std::uint64_t number, internal::call const& call,
-                                            wire::job_query const& query, bool cleared,
-                                            bool may_act)
-{
-    auto const key = model::parse_key(query.key());
-    if (!key)
-    {
-        this->out.refuse(number, error_code::bad_key, key.error().detail);
-        return nullptr;
-    }
-    model::job_id const id{query.route(), query.key()};
-    auto const created = key.value().created;
-    auto* const known = this->jobs.find(id);
-    if (known == nullptr)
-    {
-        if (auto const refusal = this->refusal_of_unknown(created))
-        {
-            this->out.refuse(number, *refusal, "key " + query.key() + " is not known here");
-        }
-        else if (!cleared && !this->is_after(created, this->changed_at))
-        {
-            this->inquire(number, id, created, call);
-        }
-        else if (!this->is_after(created, this->changed_at) &&
-                 this->fences.is_in_doubt(created, this->agents))
-        {
-            this->out.refuse(number, error_code::outcome_unknown, "the ledger of an agent is lost");
-        }
-        else
-        {
-            this->out.refuse(number, error_code::unknown_job, "no member holds the key");
-        }
-        return nullptr;
-    }
-    if (this->jobs.name_of(known->team) != query.team())
-    {
-        this->out.refuse(number, error_code::wrong_team, "the key belongs to another team");
-        return nullptr;
-    }
-    if (this->needs_inquiry(*known) && known->content->cleared_view != this->owned.view && !cleared)
-    {
-        if (this->is_serving())
-        {
-            this->inquire(number, id, created, call);
-        }
-        else
-        {
-            this->out.refuse(number, error_code::outcome_unknown, "the job is interrupted");
-        }
-        return nullptr;
-    }
-    if (may_act && !known->has_ended() && (!this->confirmed || this->removed))
-    {
-        this->out.refuse(number, error_code::not_confirmed, "this owner may have been replaced");
-        return nullptr;
-    }
-    return known;
-}
-
-void shard_owner::state::handle_call(std::uint64_t number, internal::query_call const& call,
-                                     bool cleared)
-{
-    auto const& query = call.query;
-    auto* const known = this->find_for(number, call, query, cleared, false);
-    if (known == nullptr)
-    {
-        return;
-    }
-    if (!known->content)
-    {
-        this->out.refuse(number, error_code::acknowledged,
-                         "the answers of " + query.key() + " were acknowledged");
-        return;
-    }
-    this->answer_or_wait(number, *known, query.wait_ms(), query.with_history());
-}
-
-void shard_owner::state::handle_call(std::uint64_t number, internal::cancel_call const& call,
-                                     bool cleared)
-{
-    auto const& query = call.query;
-    auto* const known = this->find_for(number, call, query, cleared, true);
-    if (known == nullptr)
-    {
-        return;
-    }
-    if (!known->content)
-    {
-        this->out.refuse(number, error_code::acknowledged,
-                         "the answers of " + query.key() + " were acknowledged");
-        return;
-    }
-    this->cancel_tasks(*known);
-    this->answer_or_wait(number, *known, query.wait_ms(), query.with_history());
-}
-
-void shard_owner::state::handle_call(std::uint64_t number, internal::acknowledge_call const& call,
-                                     bool cleared)
-{
-    auto* const known = this->find_for(number, call, call.query, cleared, false);
-    if (known == nullptr)
-    {
-        return;
-    }
-    if (!known->has_ended())
-    {
-        this->out.refuse(number, error_code::job_not_ended, "only ended jobs are acknowledged");
-        return;
-    }
-    if (known->content)
-    {
-        this->jobs.forget_answers(*known);
-    }
-    this->out.answer(number, this->report(*known, false));
-}
-
-void shard_owner::state::answer_or_wait(std::uint64_t number, internal::job& known,
-                                        std::uint32_t wait_ms, bool with_history)
-{
-    if (known.has_ended() || wait_ms == 0)
-    {
-        this->out.answer(number, this->report(known, with_history));
-        return;
-    }
-    known.content->waiting.push_back(number);
-    this->waiting.add(number,
-                      {known.id, this->now + std::chrono::milliseconds(wait_ms), with_history});
-}
-
-void shard_owner::state::cancel_tasks(internal::job& cancelled)
-{
-    if (cancelled.has_ended())
-    {
-        return;
-    }
-    auto& content = *cancelled.content;
-    content.cancel_requested = true;
-    this->note(cancelled, internal::whole_job, internal::history_event::cancel_requested);
-    for (std::uint32_t i = 0; i < cancelled.task_count; ++i)
-    {
-        auto const& held = content.tasks[i];
-        if (internal::is_at_agent(held.state) && held.agent->linked)
-        {
-            send_cancel request{.agent = held.agent->id, .cancel = {}};
-            *request.cancel.mutable_task() = wire::make_task_ref(cancelled.id, i);
-            this->out.add(std::move(request));
-        }
-    }
-    if (this->needs_inquiry(cancelled))
-    {
-        this->end_interrupted(cancelled);
-    }
-    this->cancel_queued(cancelled);
-}
-
 } // namespace filbertroad::submission
--- a/filbertroad/submission/tasks.cpp
+++ b/filbertroad/submission/tasks.cpp
@@ -24,6 +24,22 @@
 
 } // namespace
 
+internal::job& shard_owner::state::add_job(model::job_id id, base::system_time created,
+                                           std::string digest, std::uint32_t task_count,
+                                           std::string_view team)
+{
+    this->open_tasks += task_count;
+    return this->jobs.add(std::move(id), created, std::move(digest), task_count, team);
+}
+
+void shard_owner::state::interrupt_tasks(internal::job& owner)
+{
+    for (std::uint32_t i = 0; i < owner.task_count; ++i)
+    {
+        this->apply(owner, i, internal::task_event::interrupted);
+    }
+}
+
 bool shard_owner::state::apply(internal::job& owner, std::uint32_t index,
                                internal::task_event event)
 {
