Add filbertroad-measure: replay of traces beside the ideal and baselines

Cause: response ratio and throughput of the scheduler were unknown. Change: a trace format, generated traces of both deployments, a replay with fixed delays, the ideal and three baselines, printed as NAME VALUE UNIT by scripts/measure.

--- /dev/null
+++ b/filbertroad/measure/comparison.hpp
@@ -0,0 +1,41 @@
+#ifndef FILBERTROAD_MEASURE_COMPARISON_HPP
+#define FILBERTROAD_MEASURE_COMPARISON_HPP
+
+/// Replays the same traces with every system and prints the figures. A cell is a deployment, a
+/// range of speeds and a load; its figures are over all seeds together.
+///
+///     auto figures = measure::compare({.seeds = 5, .jobs = 2000}, std::cout);
+///
+/// Uses threads of its own; the output does not depend on their number.
+
+#include "filbertroad/measure/generate.hpp"
+#include "filbertroad/measure/trace.hpp"
+
+#include <cstdint>
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace filbertroad::measure
+{
+
+struct comparison_options
+{
+    std::uint32_t first_seed = 1;
+    std::uint32_t seeds = 5;
+    std::uint32_t jobs = 2000;
+    std::uint32_t threads = 2;
+    /// Only cells whose name contains this text.
+    std::string only;
+    bool with_baselines = true;
+};
+
+/// Replays generated traces and prints one line `NAME VALUE UNIT` for each figure.
+void compare(comparison_options const& options, std::ostream& out);
+
+/// The same for one recorded trace.
+void compare_trace(trace const& content, std::ostream& out);
+
+} // namespace filbertroad::measure
+
+#endif
--- /dev/null
+++ b/filbertroad/measure/event_queue.hpp
@@ -0,0 +1,54 @@
+#ifndef FILBERTROAD_MEASURE_EVENT_QUEUE_HPP
+#define FILBERTROAD_MEASURE_EVENT_QUEUE_HPP
+
+/// Events in order of time; events of the same time in the order in which they were added.
+///
+///     event_queue<arrival> events;
+///     events.add(1500, {job});
+///     auto [time, event] = events.take();
+///
+/// Not safe for several threads.
+
+#include "filbertroad/measure/trace.hpp"
+
+#include <cstdint>
+#include <queue>
+#include <vector>
+
+namespace filbertroad::measure
+{
+
+template <class Event>
+class event_queue
+{
+public:
+    struct timed
+    {
+        time_us time = 0;
+        std::uint64_t number = 0;
+        Event event;
+
+        friend bool operator<(timed const& a, timed const& b)
+        {
+            return a.time != b.time ? a.time > b.time : a.number > b.number;
+        }
+    };
+
+    void add(time_us time, Event const& event) { this->events.push({time, this->next++, event}); }
+    [[nodiscard]] bool empty() const { return this->events.empty(); }
+    /// Removes and returns the next event. Precondition: not empty.
+    timed take()
+    {
+        auto first = this->events.top();
+        this->events.pop();
+        return first;
+    }
+
+private:
+    std::priority_queue<timed> events;
+    std::uint64_t next = 0;
+};
+
+} // namespace filbertroad::measure
+
+#endif
--- /dev/null
+++ b/filbertroad/measure/measure_test.cpp
@@ -0,0 +1,87 @@
+#include "filbertroad/measure/generate.hpp"
+#include "filbertroad/measure/replay.hpp"
+#include "filbertroad/measure/statistics.hpp"
+#include "filbertroad/measure/trace.hpp"
+
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace filbertroad::measure
+{
+namespace
+{
+
+trace one_target(std::vector<job_spec> jobs)
+{
+    trace content;
+    content.targets = {{.name = "a", .zone = 0, .slots = 1, .slowness = 2}};
+    content.jobs = std::move(jobs);
+    return content;
+}
+
+TEST(trace_file, recorded_trace_replays_as_the_original)
+{
+    auto const original = generate({.speed_range = 4, .load = 0.9, .jobs = 50, .seed = 3});
+    std::stringstream file;
+    write_trace(original, file);
+    auto const copy = read_trace(file);
+    ASSERT_TRUE(copy.has_value());
+    EXPECT_EQ(replay_scheduler(original, {}).responses,
+              replay_scheduler(copy.value(), {}).responses);
+}
+
+TEST(trace_file, bad_line_is_named)
+{
+    std::istringstream file("target a 0 8 1\n\njob 5 0 0\n");
+    auto const read = read_trace(file);
+    ASSERT_FALSE(read.has_value());
+    EXPECT_EQ(read.error().detail, "line 3: job 5 0 0");
+}
+
+TEST(generated_trace, offers_exactly_the_wanted_load)
+{
+    auto const made = generate({.speed_range = 4, .load = 0.7, .jobs = 100, .seed = 1});
+    auto const duration = static_cast<double>(made.jobs.back().arrival);
+    EXPECT_NEAR(made.total_work() / (made.capacity() * duration), 0.7, 1e-6);
+}
+
+TEST(ideal, pays_the_network_once_each_way)
+{
+    auto const content = one_target({{.arrival = 0, .run_us = {1000, 1000}}});
+    // Callers 3 ms, zone 0.1 ms, two runs of 2 ms one after the other, and back.
+    EXPECT_EQ(replay_ideal(content, ideal_order::fewest_tasks).responses.at(0),
+              3100 + 2 * 2000 + 3100);
+    EXPECT_EQ(replay_scheduler(content, {}).responses.at(0), 3100 + 2 * 2000 + 200 + 3100);
+}
+
+TEST(ideal, waits_for_a_fast_target_rather_than_using_a_slow_one)
+{
+    trace content;
+    content.targets = {{.name = "fast", .zone = 0, .slots = 1, .slowness = 1},
+                       {.name = "slow", .zone = 0, .slots = 1, .slowness = 10}};
+    content.jobs = {{.arrival = 0, .run_us = {10'000, 10'000}}};
+    EXPECT_EQ(replay_ideal(content, ideal_order::fewest_tasks).responses.at(0), 6200 + 20'000);
+}
+
+TEST(ideal, is_not_worse_than_any_other_system)
+{
+    for (double const range : {1.0, 4.0})
+    {
+        auto const content = generate({.speed_range = range, .load = 0.7, .jobs = 400, .seed = 5});
+        auto const mean = [&](outcome const& observed)
+        {
+            response_sample sample;
+            sample.add(content, observed);
+            EXPECT_EQ(sample.refused(), 0U);
+            return sample.mean();
+        };
+        auto const ideal = mean(replay_ideal(content, ideal_order::fewest_tasks));
+        EXPECT_LE(ideal, mean(replay_scheduler(content, {})));
+        EXPECT_LE(ideal, mean(replay_baseline(content, baseline::round_robin, 1)));
+        EXPECT_LE(ideal, mean(replay_baseline(content, baseline::two_choices, 1)));
+        EXPECT_LE(ideal, mean(replay_baseline(content, baseline::agent_queue, 1)));
+    }
+}
+
+} // namespace
+} // namespace filbertroad::measure
--- /dev/null
+++ b/filbertroad/measure/replay.hpp
@@ -0,0 +1,88 @@
+#ifndef FILBERTROAD_MEASURE_REPLAY_HPP
+#define FILBERTROAD_MEASURE_REPLAY_HPP
+
+/// Replays a trace through a network and targets with fixed delays. The network delays messages by
+/// the latencies of the trace and loses none; a target runs one task in each slot for exactly its
+/// run time times its slowness; decisions of the owner take no time.
+///
+///     auto outcome = measure::replay_scheduler(recorded, {});
+///     auto reference = measure::replay_ideal(recorded);
+///
+/// Each replay is a pure function of its arguments and thread safe.
+
+#include "filbertroad/measure/trace.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace filbertroad::measure
+{
+
+inline constexpr time_us not_answered = -1;
+
+/// What a replay observed.
+struct outcome
+{
+    /// Response time of each job at its caller, or not_answered if it was refused.
+    std::vector<time_us> responses;
+    /// Times at which a task ended at its target, in order.
+    std::vector<time_us> completions;
+    /// Messages between owner and agents, and those of them that carried no accepted work or
+    /// answer.
+    std::uint64_t messages = 0;
+    std::uint64_t wasted_messages = 0;
+    std::uint32_t longest_queue = 0;
+};
+
+/// A zone that is taken out and returns.
+struct zone_outage
+{
+    std::uint32_t zone = 0;
+    time_us from = 0;
+    time_us until = 0;
+};
+
+struct replay_options
+{
+    std::uint64_t seed = 1;
+    std::uint32_t max_queued_tasks = 200'000;
+    /// Empty, or the zones that leave and return.
+    std::vector<zone_outage> outages;
+};
+
+/// The scheduler of this repository.
+[[nodiscard]] outcome replay_scheduler(trace const& content, replay_options const& options);
+
+/// How the ideal orders jobs.
+enum class ideal_order
+{
+    /// As the scheduler: teams by running tasks; within a team arrival plus 10 ms for each task
+    /// that has not started.
+    fewest_tasks,
+    /// By arrival.
+    first_come,
+};
+
+/// One global queue that knows every speed and run time and pays the network once each way: a task
+/// is at a target one latency after its job arrived, and a slot is taken again at the moment in
+/// which it becomes free. Each task goes, in order, to the target on which it ends first, waiting
+/// there for a busy slot if need be.
+[[nodiscard]] outcome replay_ideal(trace const& content, ideal_order order);
+
+/// Simple ways to send each task as soon as it arrives; each agent has a queue in order of arrival.
+enum class baseline
+{
+    /// Each target in turn.
+    round_robin,
+    /// The less loaded of two random targets, by tasks sent and not yet answered.
+    two_choices,
+    /// A random target whose agent refuses when more than a second set of tasks waits for its
+    /// slots; refused tasks are sent again.
+    agent_queue,
+};
+
+[[nodiscard]] outcome replay_baseline(trace const& content, baseline kind, std::uint64_t seed);
+
+} // namespace filbertroad::measure
+
+#endif
--- /dev/null
+++ b/filbertroad/measure/statistics.cpp
@@ -0,0 +1,65 @@
+#include "filbertroad/measure/statistics.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace filbertroad::measure
+{
+namespace
+{
+
+time_us warm_up_end(trace const& content)
+{
+    return static_cast<time_us>(static_cast<double>(content.jobs.back().arrival) * warm_up_share);
+}
+
+} // namespace
+
+void response_sample::add(trace const& content, outcome const& observed)
+{
+    for (std::size_t job = 0; job < content.jobs.size(); ++job)
+    {
+        if (content.jobs[job].arrival < warm_up_end(content))
+        {
+            continue;
+        }
+        this->times.push_back(observed.responses[job]);
+        this->not_run += observed.responses[job] == not_answered;
+    }
+}
+
+double response_sample::mean() const
+{
+    return static_cast<double>(std::accumulate(this->times.begin(), this->times.end(), time_us{})) /
+           static_cast<double>(this->times.size());
+}
+
+double response_sample::quantile(double share) const
+{
+    auto sorted = this->times;
+    auto const rank = static_cast<std::size_t>(
+        std::max(0.0, std::ceil(share * static_cast<double>(sorted.size())) - 1));
+    std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(rank),
+                     sorted.end());
+    return static_cast<double>(sorted[rank]);
+}
+
+double throughput_share(trace const& content, outcome const& observed)
+{
+    auto const begin = warm_up_end(content);
+    auto const end = content.jobs.back().arrival;
+    double tasks = 0;
+    for (auto const& job : content.jobs)
+    {
+        tasks += static_cast<double>(job.run_us.size());
+    }
+    auto const first =
+        std::lower_bound(observed.completions.begin(), observed.completions.end(), begin);
+    auto const last = std::lower_bound(first, observed.completions.end(), end);
+    auto const possible =
+        content.capacity() / (content.total_work() / tasks) * static_cast<double>(end - begin);
+    return static_cast<double>(last - first) / possible;
+}
+
+} // namespace filbertroad::measure
--- /dev/null
+++ b/filbertroad/measure/statistics.hpp
@@ -0,0 +1,47 @@
+#ifndef FILBERTROAD_MEASURE_STATISTICS_HPP
+#define FILBERTROAD_MEASURE_STATISTICS_HPP
+
+/// Figures from the outcomes of replays. docs/measurements.md defines each of them.
+///
+///     response_sample ours;
+///     ours.add(recorded, outcome);
+///     auto ratio = ours.mean() / ideal.mean();
+///
+/// Not safe for several threads.
+
+#include "filbertroad/measure/replay.hpp"
+#include "filbertroad/measure/trace.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace filbertroad::measure
+{
+
+/// Jobs that arrive in this part of the trace do not count: speeds are learnt and queues fill.
+inline constexpr double warm_up_share = 0.1;
+
+/// Response times of jobs after the warm-up, over several traces.
+class response_sample
+{
+public:
+    void add(trace const& content, outcome const& observed);
+    /// Mean in microseconds.
+    [[nodiscard]] double mean() const;
+    /// Smallest response time that at least `share` of the jobs do not exceed, in microseconds.
+    [[nodiscard]] double quantile(double share) const;
+    [[nodiscard]] std::uint64_t refused() const { return this->not_run; }
+    [[nodiscard]] std::vector<time_us> const& all() const { return this->times; }
+
+private:
+    std::vector<time_us> times;
+    std::uint64_t not_run = 0;
+};
+
+/// Work of the completed tasks between the end of the warm-up and the last arrival, over what the
+/// targets could complete in that time.
+[[nodiscard]] double throughput_share(trace const& content, outcome const& observed);
+
+} // namespace filbertroad::measure
+
+#endif
--- /dev/null
+++ b/filbertroad/measure/trace.cpp
@@ -0,0 +1,114 @@
+#include "filbertroad/measure/trace.hpp"
+
+#include <istream>
+#include <ostream>
+#include <sstream>
+
+namespace filbertroad::measure
+{
+namespace
+{
+
+bool parse_line(std::string const& line, trace& content)
+{
+    std::istringstream fields(line);
+    std::string keyword;
+    fields >> keyword;
+    if (keyword == "latency")
+    {
+        fields >> content.local_latency >> content.zone_latency >> content.caller_latency;
+        return !fields.fail();
+    }
+    if (keyword == "target")
+    {
+        target_spec target;
+        fields >> target.name >> target.zone >> target.slots >> target.slowness;
+        content.targets.push_back(target);
+        return !fields.fail() && target.slots > 0 && target.slowness > 0;
+    }
+    if (keyword != "job")
+    {
+        return false;
+    }
+    job_spec job;
+    fields >> job.arrival >> job.team >> job.route;
+    if (fields.fail() || (!content.jobs.empty() && job.arrival < content.jobs.back().arrival))
+    {
+        return false;
+    }
+    std::uint32_t run_us = 0;
+    while (fields >> run_us)
+    {
+        job.run_us.push_back(run_us);
+    }
+    bool const valid = fields.eof() && !job.run_us.empty();
+    content.jobs.push_back(std::move(job));
+    return valid;
+}
+
+} // namespace
+
+double trace::total_work() const
+{
+    double work = 0;
+    for (auto const& job : this->jobs)
+    {
+        for (auto const run_us : job.run_us)
+        {
+            work += run_us;
+        }
+    }
+    return work;
+}
+
+double trace::capacity() const
+{
+    double capacity = 0;
+    for (auto const& target : this->targets)
+    {
+        capacity += target.slots / target.slowness;
+    }
+    return capacity;
+}
+
+base::result<trace, base::error<trace_error>> read_trace(std::istream& in)
+{
+    trace content;
+    std::string line;
+    for (int number = 1; std::getline(in, line); ++number)
+    {
+        if (!line.empty() && line[0] != '#' && !parse_line(line, content))
+        {
+            return base::error<trace_error>{trace_error::bad_line,
+                                            "line " + std::to_string(number) + ": " + line};
+        }
+    }
+    if (content.targets.empty())
+    {
+        return base::error<trace_error>{trace_error::no_targets, "no line `target`"};
+    }
+    return content;
+}
+
+void write_trace(trace const& content, std::ostream& out)
+{
+    out.precision(17);
+    out << "latency " << content.local_latency << ' ' << content.zone_latency << ' '
+        << content.caller_latency << '\n';
+    for (auto const& target : content.targets)
+    {
+        out << "target " << target.name << ' ' << target.zone << ' ' << target.slots << ' '
+            << target.slowness << '\n';
+    }
+    for (auto const& job : content.jobs)
+    {
+        out << "job " << job.arrival << ' ' << job.team << ' ' << job.route;
+        for (auto const run_us : job.run_us)
+        {
+            out << ' ' << run_us;
+        }
+        out << '\n';
+    }
+}
+
+} // namespace filbertroad::measure
