--- a/filbertroad/api/http_api_test.cpp
+++ b/filbertroad/api/http_api_test.cpp
@@ -76,7 +76,7 @@
         EXPECT_EQ(body.at("not_run").as_string(), certainty);
         EXPECT_EQ(body.at("retry_after_ms").as_int64(), 1200);
     }
-    error.set_code("key_conflict");
+    error.set_code("key_reused");
     EXPECT_EQ(this->send({"GET", std::string(job_path)}).status, 409U);
 }
 
--- a/filbertroad/api/internal/api_error.cpp
+++ b/filbertroad/api/internal/api_error.cpp
@@ -19,20 +19,18 @@
 };
 
 constexpr std::array code_meanings{
+    code_meaning{"bad_key", 400, "key"},
+    code_meaning{"bad_request", 400, ""},
+    code_meaning{"key_in_future", 400, "key"},
+    code_meaning{"wrong_team", 403, "key"},
     code_meaning{"unknown_route", 404, "route"},
     code_meaning{"unknown_job", 404, "key"},
-    code_meaning{"not_your_job", 403, "key"},
-    code_meaning{"key_conflict", 409, "key"},
-    code_meaning{"not_ended", 409, "key"},
+    code_meaning{"key_reused", 409, "key"},
+    code_meaning{"job_not_ended", 409, "key"},
     code_meaning{"key_expired", 410, "key"},
     code_meaning{"acknowledged", 410, "key"},
-    code_meaning{"key_ahead", 400, "key"},
-    code_meaning{"bad_key", 400, "key"},
-    code_meaning{"bad_request", 400, ""},
-    code_meaning{"unknown_team", 403, ""},
     code_meaning{"team_over_quota", 429, "team"},
     code_meaning{"deadline_unreachable", 503, "deadline_ms"},
-    code_meaning{"too_large", 413, "tasks"},
 };
 
 /// Reasons that pass with time, such as `overloaded`, `no_owner` or `not_confirmed`.
