--- a/filbertroad/control/control_queries.cpp
+++ b/filbertroad/control/control_queries.cpp
@@ -84,7 +84,7 @@
     }
     control_state state;
     state.version_offset = snapshot.as_of();
-    state.next = snapshot.as_of() + 1;
+    state.next = std::max(snapshot.as_of() + 1, snapshot.next_offset());
     state.view_offset = snapshot.view();
     state.routes_content = snapshot.routes();
     state.pools_content = snapshot.pools();
@@ -121,6 +121,7 @@
 {
     wire::control_snapshot snapshot;
     snapshot.set_as_of(this->version_offset);
+    snapshot.set_next_offset(this->next);
     *snapshot.mutable_routes() = this->routes_content;
     *snapshot.mutable_pools() = this->pools_content;
     *snapshot.mutable_teams() = this->teams_content;
@@ -378,7 +379,8 @@
     return state;
 }
 
-std::optional<control_state> start_from_expired_log(std::span<positioned_record const> records)
+std::optional<control_state> start_from_expired_log(std::span<positioned_record const> records,
+                                                    std::uint64_t first)
 {
     for (auto entry = records.rbegin(); entry != records.rend(); ++entry)
     {
@@ -387,7 +389,8 @@
             continue;
         }
         auto state = control_state::from_snapshot(entry->record.snapshot());
-        if (state && state.value().version() < entry->offset)
+        if (state && state.value().next_offset() >= first &&
+            state.value().next_offset() <= entry->offset)
         {
             return std::move(state).value();
         }
--- a/filbertroad/control/control_state.hpp
+++ b/filbertroad/control/control_state.hpp
@@ -196,13 +196,12 @@
     wire::control_record record;
 };
 
-/// The state to start from when the log has expired up to the first of `records`: that of the last
-/// snapshot record among them. The caller then applies the records from next_offset() on. The last
-/// one is taken because a snapshot that lost a race with another record is followed by a valid one,
-/// and the records between the last one and its `as_of` are usually still there to be applied.
-/// Empty if no record is a valid snapshot; the state is then taken from a peer.
+/// The state to start from when the log has expired up to `first`, the oldest offset that it keeps:
+/// that of the last snapshot among `records` whose writer had read up to `first` or beyond. The
+/// caller then applies the records from next_offset() on. Empty if there is none; the state is then
+/// taken from a peer.
 [[nodiscard]] std::optional<control_state>
-start_from_expired_log(std::span<positioned_record const> records);
+start_from_expired_log(std::span<positioned_record const> records, std::uint64_t first);
 
 } // namespace filbertroad::control
 
--- a/filbertroad/server/control_controller.cpp
+++ b/filbertroad/server/control_controller.cpp
@@ -180,18 +180,35 @@
 
 bool control_controller::restart_from_page(net::log_page const& page)
 {
-    wire::control_record record;
-    for (auto at = page.records.rbegin(); at != page.records.rend(); ++at)
+    std::vector<control::positioned_record> records;
+    for (auto const& entry : page.records)
     {
-        // A snapshot may have raced with a change, so every record after its state must be kept.
-        if (record.ParseFromString(at->data) && record.has_snapshot() &&
-            record.snapshot().as_of() + 1 >= page.first)
+        control::positioned_record record{entry.offset, {}};
+        if (record.record.ParseFromString(entry.data) && record.record.has_snapshot())
         {
-            this->state_received(record.snapshot());
-            return true;
+            records.push_back(std::move(record));
         }
     }
-    return false;
+    auto start = control::start_from_expired_log(records, page.first);
+    return start && this->replace_state(std::move(*start));
+}
+
+bool control_controller::replace_state(control::control_state state)
+{
+    if (state.next_offset() <= this->current.next_offset())
+    {
+        return false;
+    }
+    this->current = std::move(state);
+    this->confirmation.state_advanced(this->current.version());
+    control::applied applied;
+    applied.outcome = control::apply_outcome::accepted;
+    applied.view_changed = true;
+    applied.tables_changed = true;
+    applied.service_changed = true;
+    applied.agents_changed = true;
+    this->publish_state(applied);
+    return true;
 }
 
 void control_controller::apply_record(std::uint64_t offset, wire::control_record const& record,
@@ -427,26 +444,15 @@
 
 void control_controller::state_received(wire::control_snapshot const& snapshot)
 {
-    boost::asio::dispatch(this->strand,
-                          [this, snapshot]
+    boost::asio::post(this->strand,
+                      [this, snapshot]
+                      {
+                          auto restored = control::control_state::from_snapshot(snapshot);
+                          if (restored)
                           {
-                              auto restored = control::control_state::from_snapshot(snapshot);
-                              if (!restored ||
-                                  (restored.value().version() <= this->current.version() &&
-                                   this->current.version() != 0))
-                              {
-                                  return;
-                              }
-                              this->current = std::move(restored).value();
-                              this->confirmation.state_advanced(this->current.version());
-                              control::applied applied;
-                              applied.outcome = control::apply_outcome::accepted;
-                              applied.view_changed = true;
-                              applied.tables_changed = true;
-                              applied.service_changed = true;
-                              applied.agents_changed = true;
-                              this->publish_state(applied);
-                          });
+                              this->replace_state(std::move(restored).value());
+                          }
+                      });
 }
 
 void control_controller::start_leaving()
--- a/filbertroad/server/control_controller.hpp
+++ b/filbertroad/server/control_controller.hpp
@@ -124,6 +124,8 @@
     void read_finished(base::steady_time sent_at, net::read_result const& result);
     void apply_page(net::log_page const& page);
     bool restart_from_page(net::log_page const& page);
+    /// Takes a state that has read further than the current one.
+    bool replace_state(control::control_state state);
     void apply_record(std::uint64_t offset, wire::control_record const& record,
                       control::applied& sum, std::vector<std::function<void()>>& settled);
     void run_membership(base::steady_time now);
