Add the execution library: start gate and ledger of an agent

Cause: the agent beside a target has to refuse every start that it cannot justify, run each accepted one once, and keep its answer for the owner or for the entry that recovers the owner's jobs.

A start that the ledger holds is never refused, because a refusal says that it did not run. A hello names every open start; answers follow in parts, since together they may exceed a frame. may_link() tells which links to close after a promise.

--- a/filbertroad/execution/agent_core.hpp
+++ b/filbertroad/execution/agent_core.hpp
@@ -33,7 +33,11 @@
     /// Acknowledged starts are remembered for this long, so that a late duplicate is refused.
     std::chrono::milliseconds key_retention{15 * 60 * 1000};
     std::size_t max_ledger_entries = 200'000;
+    /// Bound of the ledger. Beyond it, answers that were acknowledged are dropped, oldest first;
+    /// the identity of a start is kept. When this does not suffice, new starts are refused.
     std::size_t max_ledger_bytes = 64UL * 1024 * 1024;
+    /// Most starts whose answer is not acknowledged; bounds the size of a hello.
+    std::size_t max_open_entries = 20'000;
     /// An agent promises to refuse a missing member only after this long without traffic from it.
     std::chrono::milliseconds promise_silence{3000};
     /// A target that has not announced itself for this long counts as unreachable.
@@ -92,7 +96,8 @@
     void entry_linked(wire::member const& entry, std::uint64_t link_number, base::steady_time now);
     void entry_unlinked(model::process_id const& entry, std::uint64_t link_number);
 
-    /// The target announced itself.
+    /// The target announced itself. One that said it is leaving counts as back when it announces
+    /// another address, or after a silence of announcement_timeout.
     void target_announced(wire::target_description const& target, base::steady_time now);
     void target_leaving(base::steady_time now);
     /// A planned stop of the agent: the gate closes, running tasks finish.
@@ -103,6 +108,7 @@
     void pong_received(model::process_id const& entry, wire::pong const& pong,
                        base::steady_time now);
     void state_received(wire::agent_state const& state, base::steady_time now);
+    /// Read `wall` before `now`, so that a pause between the two makes `start_before` earlier.
     void start_received(model::process_id const& entry, std::uint64_t link_number,
                         wire::start_task const& start, base::steady_time now,
                         base::system_time wall);
@@ -124,8 +130,14 @@
 
     [[nodiscard]] std::vector<action> take_actions();
 
-    /// Members of the newest view known, to keep links to.
+    /// Members of the newest view known, to keep links to, without those that may not be linked.
     [[nodiscard]] std::vector<wire::member> entries() const;
+    /// False for an entry that a fence or a promise excludes. Its link must be closed at once: an
+    /// entry that counts its linked agents must not count one that promised to refuse it.
+    [[nodiscard]] bool may_link(model::process_id const& entry) const;
+    /// Whether starts are accepted now, as far as the agent itself is concerned.
+    [[nodiscard]] bool is_open(base::steady_time now) const;
+    [[nodiscard]] std::size_t unacknowledged() const;
     [[nodiscard]] std::size_t ledger_entries() const;
     [[nodiscard]] std::size_t running() const;
 
--- /dev/null
+++ b/filbertroad/execution/internal/agent_state.hpp
@@ -0,0 +1,69 @@
+#ifndef FILBERTROAD_EXECUTION_INTERNAL_AGENT_STATE_HPP
+#define FILBERTROAD_EXECUTION_INTERNAL_AGENT_STATE_HPP
+
+/// The parts of agent_core.
+
+#include "filbertroad/execution/agent_core.hpp"
+#include "filbertroad/execution/internal/ledger.hpp"
+#include "filbertroad/execution/internal/start_gate.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace filbertroad::execution
+{
+
+struct agent_core::state
+{
+    /// An entry that was linked at some time.
+    struct entry_link
+    {
+        std::uint64_t number = 0;
+        bool linked = false;
+        base::steady_time heard;
+        std::optional<base::steady_time> pinged;
+        /// Answers to send again, a part in each tick.
+        std::deque<internal::task_identity> to_repeat;
+    };
+
+    state(model::process_id self, std::string zone, agent_options options);
+
+    void send(model::process_id const& entry, wire::link_message message);
+    void send_to_linked(wire::link_message const& message);
+    void send_hello(model::process_id const& entry, entry_link& link);
+    void send_ping(model::process_id const& entry, entry_link& link, base::steady_time now);
+    /// Sends the answer of a finished task to its recipient and its owner, if they are
+    /// linked.
+    void send_finished(internal::task_identity const& task);
+    void repeat_answers(entry_link& link);
+    void send_target();
+    void refuse(model::process_id const& entry, wire::task_ref const& task, wire::refusal reason);
+    void accept(model::process_id const& entry, wire::start_task const& start,
+                base::steady_time now, base::system_time wall);
+    void report_ledger(model::process_id const& entry, wire::fence const& fence);
+    void heard_from(model::process_id const& entry, base::steady_time now);
+    void notice_pause(base::steady_time now);
+
+    [[nodiscard]] bool is_linked(model::process_id const& entry) const;
+    [[nodiscard]] bool is_current_link(model::process_id const& entry,
+                                       std::uint64_t link_number) const;
+
+    model::process_id self;
+    std::string zone;
+    agent_options options;
+    internal::start_gate gate;
+    internal::ledger ledger;
+    std::map<model::process_id, entry_link> links;
+    /// Time of the first call that named one; silence is measured from then.
+    std::optional<base::steady_time> started_at;
+    std::optional<base::steady_time> last_tick;
+    std::optional<base::steady_time> last_expiry;
+    std::vector<action> actions;
+};
+
+} // namespace filbertroad::execution
+
+#endif
--- /dev/null
+++ b/filbertroad/execution/internal/start_gate.hpp
@@ -0,0 +1,98 @@
+#ifndef FILBERTROAD_EXECUTION_INTERNAL_START_GATE_HPP
+#define FILBERTROAD_EXECUTION_INTERNAL_START_GATE_HPP
+
+/// Decides whether a start may be accepted: confirmation, zone and target states, the target's own
+/// announcements, and which entries may send starts.
+///
+///     gate.state_received(state);
+///     gate.pong_received(entry, pong, now);
+///     if (auto const reason = gate.find_refusal(entry, now)) refuse(*reason);
+///
+/// Not safe for several threads.
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/execution/agent_core.hpp"
+#include "filbertroad/model/job_key.hpp"
+#include "filbertroad/wire/link.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace filbertroad::execution::internal
+{
+
+class start_gate
+{
+public:
+    start_gate(std::string zone, agent_options const& options);
+
+    /// Ignores a state that is older than the known one.
+    void state_received(wire::agent_state const& state);
+    void pong_received(model::process_id const& entry, wire::pong const& pong,
+                       base::steady_time now);
+    /// Returns true if the description that entries see changed.
+    bool target_announced(wire::target_description const& target, base::steady_time now);
+    bool target_leaving();
+    bool start_draining();
+    /// Returns true if the target has just become silent.
+    bool target_silent(base::steady_time now);
+
+    /// Excludes the members for ever. Returns false if the sender may not fence.
+    bool fence(model::process_id const& sender, wire::fence const& fence);
+    /// Excludes a member until a view newer than `view` still has it.
+    void promise(model::process_id const& missing, std::uint64_t view);
+    [[nodiscard]] bool is_excluded(model::process_id const& entry) const;
+    [[nodiscard]] bool is_member(model::process_id const& entry) const;
+
+    /// Why a start of `entry` must be refused; empty if it may be accepted.
+    [[nodiscard]] std::optional<wire::refusal> find_refusal(model::process_id const& entry,
+                                                            base::steady_time now) const;
+    /// The part of find_refusal() that does not depend on the sender.
+    [[nodiscard]] std::optional<wire::refusal> find_own_refusal(base::steady_time now) const;
+    /// Time until which the present confirmation allows starts.
+    [[nodiscard]] base::steady_time confirmed_until() const;
+
+    [[nodiscard]] wire::agent_state const& state() const { return this->newest; }
+    /// Highest view that a state or a fence named.
+    [[nodiscard]] std::uint64_t view() const { return this->newest_view; }
+    [[nodiscard]] wire::target_description target() const;
+
+private:
+    /// The newest confirmation that an entry gave.
+    struct entry_confirmation
+    {
+        base::steady_time as_of;
+        std::uint64_t offset = 0;
+    };
+
+    void use_confirmation(model::process_id const& entry, entry_confirmation const& given);
+    [[nodiscard]] std::optional<wire::refusal> find_target_refusal(base::steady_time now) const;
+
+    std::string zone;
+    agent_options options;
+    wire::agent_state newest;
+    bool has_state = false;
+    std::uint64_t newest_view = 0;
+    std::map<model::process_id, entry_confirmation> confirmations;
+    std::optional<base::steady_time> confirmed_as_of;
+    /// Highest incarnation of each name that a fence excluded, and the view of that fence.
+    struct excluded_name
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t view = 0;
+    };
+    std::map<std::string, excluded_name> fenced;
+    std::map<model::process_id, std::uint64_t> promised;
+    std::optional<wire::target_description> description;
+    base::steady_time announced_at;
+    bool reachable = false;
+    bool leaving = false;
+    bool draining = false;
+};
+
+} // namespace filbertroad::execution::internal
+
+#endif
