Add the stand-in program: log, target and load

Cause: tests and measurements need the platform's log, targets with faults and a load that does not wait for answers.

Change: filbertroad-standin has the subcommands log, target and load (TCLAP).

--- a/filbertroad/net/http.hpp
+++ b/filbertroad/net/http.hpp
@@ -46,12 +46,23 @@
     [[nodiscard]] std::string query_value(std::string_view name) const;
 };
 
+/// Faults of a server that stand-ins imitate; other servers leave it at none.
+enum class answer_fault
+{
+    none,
+    /// The connection is closed instead of an answer.
+    no_answer,
+    /// The connection is closed before the end of the body.
+    cut_body,
+};
+
 struct http_response
 {
     unsigned status = 200;
     std::vector<http_header> headers{};
     std::string content_type = "application/json";
     std::string body{};
+    answer_fault fault = answer_fault::none;
 
     [[nodiscard]] std::string_view header(std::string_view name) const;
 };
--- a/filbertroad/net/http_test.cpp
+++ b/filbertroad/net/http_test.cpp
@@ -111,7 +111,7 @@
                                                 .query = "c=1&a%20b=%2Fz+y",
                                                 .headers = {{"x-key", "k"}},
                                                 .body = std::string(3'000'000, 'b')});
-    ASSERT_TRUE(answer);
+    ASSERT_TRUE(answer) << answer.error().error.detail;
     EXPECT_EQ(answer.value().status, 201U);
     EXPECT_EQ(answer.value().header("x-seen"), "PUT /v1/x /z y k");
     EXPECT_EQ(answer.value().content_type, "text/plain");
--- a/filbertroad/net/internal/http_connection.cpp
+++ b/filbertroad/net/internal/http_connection.cpp
@@ -353,7 +353,20 @@
         {
             return;
         }
+        if (response.fault == answer_fault::no_answer)
+        {
+            this->close();
+            return;
+        }
+        this->prepare_message(std::move(response), keep_alive);
         this->enter(phase::writing, this->hub->limits.idle_timeout);
+        http::async_write(this->socket, this->message,
+                          [self = this->shared_from_this()](error_code code, std::size_t)
+                          { self->on_written(code); });
+    }
+
+    void prepare_message(http_response response, bool keep_alive)
+    {
         this->message = {};
         this->message.result(response.status);
         this->message.version(this->parser->get().version() == 10 ? 10 : 11);
@@ -365,20 +378,18 @@
                 this->message.set(header.name, header.value);
             }
         }
-        this->message.keep_alive(keep_alive && !this->hub->stopping);
+        bool const is_cut = response.fault == answer_fault::cut_body;
+        this->message.keep_alive(keep_alive && !is_cut && !this->hub->stopping);
         bool const has_no_body =
             response.status < 200 || response.status == 204 || response.status == 304;
         if (!has_no_body)
         {
-            this->message.content_length(response.body.size());
+            this->message.content_length(response.body.size() + (is_cut ? 1 : 0));
             if (this->parser->get().method() != http::verb::head)
             {
                 this->message.body() = std::move(response.body);
             }
         }
-        http::async_write(this->socket, this->message,
-                          [self = this->shared_from_this()](error_code code, std::size_t)
-                          { self->on_written(code); });
     }
 
     void on_written(error_code code)
--- /dev/null
+++ b/filbertroad/standin/commands.hpp
@@ -0,0 +1,24 @@
+#ifndef FILBERTROAD_STANDIN_COMMANDS_HPP
+#define FILBERTROAD_STANDIN_COMMANDS_HPP
+
+/// Subcommands of the program filbertroad-standin. Each parses its arguments, of which the first is
+/// the name of the program, runs, and returns the exit status.
+///
+///     return standin::run_log({"filbertroad-standin log", "--listen", "127.0.0.1:7000"});
+
+#include <string>
+#include <vector>
+
+namespace filbertroad::standin
+{
+
+/// Exit status for wrong arguments.
+inline constexpr int usage_status = 2;
+
+int run_log(std::vector<std::string> arguments);
+int run_target(std::vector<std::string> arguments);
+int run_load(std::vector<std::string> arguments);
+
+} // namespace filbertroad::standin
+
+#endif
--- /dev/null
+++ b/filbertroad/standin/log_service.hpp
@@ -0,0 +1,82 @@
+#ifndef FILBERTROAD_STANDIN_LOG_SERVICE_HPP
+#define FILBERTROAD_STANDIN_LOG_SERVICE_HPP
+
+/// The platform's log service over HTTP, with the faults that tests need.
+///
+///     standin::log_service service(io, clock, settings);
+///     auto server = net::http_server::listen(io, address, {}, service.handler());
+///
+/// `POST /control` changes log_settings, `GET /control` shows them.
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/net/http.hpp"
+#include "filbertroad/standin/memory_log.hpp"
+#include "filbertroad/standin/rate_limiter.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <list>
+#include <string>
+
+namespace filbertroad::standin
+{
+
+struct log_settings
+{
+    /// Time before each answer, in milliseconds.
+    double latency_ms = 0;
+    /// Factor on the latency, which counts as at least 1 ms then; 0 and 1 change nothing.
+    double slow = 1;
+    /// Appends per second that are taken; 0 means no limit. Others are answered 429.
+    double append_rate = 0;
+    double retention_s = 3600;
+    /// Every request is answered 503 and has no effect.
+    bool outage = false;
+    /// Appends take effect, but their connection is closed without an answer.
+    bool lose_answers = false;
+};
+
+/// Runs on one thread of `io`, which must outlive it.
+class log_service
+{
+public:
+    log_service(boost::asio::io_context& io, base::clock const& clock, log_settings settings);
+
+    /// Handler for the HTTP server; the service must outlive it.
+    [[nodiscard]] net::http_handler handler();
+
+private:
+    /// A read that waits for a first record.
+    struct waiting_read
+    {
+        std::uint64_t number;
+        std::string stream;
+        std::uint64_t from;
+        std::size_t limit;
+        net::http_responder respond;
+    };
+
+    void handle(net::http_request const& request, net::http_responder const& respond);
+    void handle_control(net::http_request const& request, net::http_responder const& respond);
+    void handle_append(std::string const& stream, net::http_request const& request,
+                       net::http_responder const& respond);
+    void handle_read(std::string const& stream, net::http_request const& request,
+                     net::http_responder const& respond);
+    void wake_reads(std::string const& stream);
+    void end_read(std::uint64_t number);
+    [[nodiscard]] net::http_response page_answer(waiting_read const& read);
+    [[nodiscard]] std::chrono::nanoseconds latency() const;
+    void apply_settings();
+
+    boost::asio::io_context& io;
+    base::clock const& clock;
+    log_settings settings;
+    memory_log log;
+    rate_limiter limiter;
+    std::list<waiting_read> waiting;
+    std::uint64_t last_read = 0;
+};
+
+} // namespace filbertroad::standin
+
+#endif
--- /dev/null
+++ b/filbertroad/standin/target_command.cpp
@@ -0,0 +1,174 @@
+#include "filbertroad/standin/commands.hpp"
+#include "filbertroad/standin/target_service.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <charconv>
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <tclap/CmdLine.h>
+#include <utility>
+
+namespace filbertroad::standin
+{
+namespace
+{
+
+/// Time after the end of the last task for its answer to be written. Tasks that hang never get one.
+constexpr std::chrono::milliseconds answer_time{500};
+
+/// The address with its port moved by `step`; nothing if it is no IP:PORT or the port gets too
+/// large. Port 0 stays.
+std::optional<std::string> shifted(std::string const& address, std::uint32_t step)
+{
+    auto const colon = address.rfind(':');
+    std::uint32_t port = 0;
+    if (colon == std::string::npos ||
+        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port).ptr !=
+            address.data() + address.size())
+    {
+        return std::nullopt;
+    }
+    auto const moved = port == 0 ? 0 : port + step;
+    return moved > 65535 ? std::nullopt
+                         : std::optional(address.substr(0, colon + 1) + std::to_string(moved));
+}
+
+/// One target of the process with its server.
+struct hosted_target
+{
+    std::unique_ptr<target_service> service;
+    std::unique_ptr<net::http_server> server;
+};
+
+/// Runs targets until each has left after SIGTERM.
+class target_host
+{
+public:
+    explicit target_host(std::string const& journal) : journal(journal), end_timer(this->io) {}
+
+    /// False after an error, which is printed.
+    bool add(target_options options, target_settings settings)
+    {
+        if (!this->journal.is_open())
+        {
+            std::cerr << "cannot open the journal\n";
+            return false;
+        }
+        auto const address = options.address;
+        hosted_target target;
+        target.service = std::make_unique<target_service>(this->io, this->clock, std::move(options),
+                                                          settings, this->journal);
+        auto server = net::http_server::listen(this->io, address, {}, target.service->handler());
+        if (!server)
+        {
+            std::cerr << server.error().detail << '\n';
+            return false;
+        }
+        target.server = std::move(server.value());
+        std::cout << "target on port " << target.server->port() << std::endl;
+        this->targets.push_back(std::move(target));
+        return true;
+    }
+
+    void run()
+    {
+        for (auto const& target : this->targets)
+        {
+            target.service->announce();
+        }
+        boost::asio::signal_set signals(this->io, SIGTERM, SIGINT);
+        signals.async_wait([this](boost::system::error_code, int) { this->leave(); });
+        this->io.run();
+    }
+
+private:
+    void leave()
+    {
+        for (auto const& target : this->targets)
+        {
+            target.service->leave(
+                [this, &target]
+                {
+                    target.server->stop();
+                    if (++this->left == this->targets.size())
+                    {
+                        this->end_timer.expires_after(answer_time);
+                        this->end_timer.async_wait([this](boost::system::error_code)
+                                                   { this->io.stop(); });
+                    }
+                });
+        }
+    }
+
+    base::machine_clock clock;
+    boost::asio::io_context io{1};
+    start_journal journal;
+    boost::asio::steady_timer end_timer;
+    std::vector<hosted_target> targets;
+    std::size_t left = 0;
+};
+
+} // namespace
+
+int run_target(std::vector<std::string> arguments)
+{
+    TCLAP::CmdLine line("Stand-in target. Runs each task for the time that its payload asks for "
+                        "(run_ms=N) and writes a line UNIX_MS KEY INDEX TARGET to its journal "
+                        "before. POST /control changes slowness, fail_all, drop_answers, "
+                        "late_answers_ms, wrong_key, cut_body, refuse_all, hang and "
+                        "announced_slots while it runs.",
+                        ' ', "0.1");
+    TCLAP::ValueArg<std::string> name("", "name", "Name of the target", true, "", "N", line);
+    TCLAP::ValueArg<std::string> service("", "service", "Service of the target", true, "", "S",
+                                         line);
+    TCLAP::ValueArg<std::string> listen("", "listen", "Address to serve", true, "", "IP:PORT",
+                                        line);
+    TCLAP::ValueArg<std::string> agent("", "agent", "Address of the agent", true, "", "IP:PORT",
+                                       line);
+    TCLAP::ValueArg<std::uint32_t> slots("", "slots", "Tasks at a time (8)", false, 8, "N", line);
+    TCLAP::ValueArg<std::string> journal("", "journal", "File of starts", true, "", "FILE", line);
+    TCLAP::ValueArg<std::uint32_t> run_ms("", "run-ms",
+                                          "Mean run time without run_ms in the payload, ms (100)",
+                                          false, 100, "MEAN", line);
+    TCLAP::ValueArg<double> slowness("", "slowness", "Factor on run times (1)", false, 1, "X",
+                                     line);
+    TCLAP::MultiArg<std::string> labels("", "label", "Label of the target; repeatable", false,
+                                        "LABEL", line);
+    TCLAP::ValueArg<std::uint32_t> count("", "targets",
+                                         "Targets in this process, named NAME-0, NAME-1 and so on, "
+                                         "on consecutive ports with consecutive agents (1)",
+                                         false, 1, "N", line);
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of run times (1)", false, 1, "S", line);
+    line.parse(arguments);
+
+    target_host host(journal.getValue());
+    for (std::uint32_t i = 0; i < count.getValue(); ++i)
+    {
+        auto const address = shifted(listen.getValue(), i);
+        auto const agent_address = shifted(agent.getValue(), i);
+        if (!address || !agent_address)
+        {
+            std::cerr << "--listen, --agent: expected IP:PORT with ports up to 65535\n";
+            return usage_status;
+        }
+        auto const suffix = count.getValue() > 1 ? "-" + std::to_string(i) : std::string();
+        if (!host.add({.name = name.getValue() + suffix,
+                       .service = service.getValue(),
+                       .address = *address,
+                       .agent = *agent_address,
+                       .labels = labels.getValue(),
+                       .slots = slots.getValue(),
+                       .mean_run_time = std::chrono::milliseconds(run_ms.getValue()),
+                       .seed = seed.getValue() + i},
+                      {.slowness = slowness.getValue()}))
+        {
+            return 1;
+        }
+    }
+    host.run();
+    return 0;
+}
+
+} // namespace filbertroad::standin
