Weigh a slow free slot against waiting by the job's response time

Change: a histogram of run times gives the expected loss of the job that uses the slow slot and the gain of the jobs behind it; the job that gains most gets the slot, or none.

--- /dev/null
+++ b/filbertroad/scheduling/internal/job_choice.cpp
@@ -0,0 +1,47 @@
+#include "filbertroad/scheduling/internal/job_choice.hpp"
+
+#include <algorithm>
+
+namespace filbertroad::scheduling::internal
+{
+namespace
+{
+
+/// Jobs of a lane that are considered; those behind them wait long enough to gain from any slot.
+constexpr std::uint32_t max_jobs_considered = 32;
+
+} // namespace
+
+job_record* choose_for_slow_slot(lane& from, slow_slot const& slot, run_time_profile const& profile)
+{
+    auto const tasks_per_second = slot.faster.rate / profile.mean();
+    auto jobs_behind = static_cast<double>(from.jobs.size());
+    double tasks_ahead = 0;
+    job_record* best = nullptr;
+    double best_gain = 0;
+    std::uint32_t considered = 0;
+    for (auto& job : from.jobs)
+    {
+        auto const tasks = static_cast<std::uint32_t>(job.tasks.size());
+        tasks_ahead += tasks;
+        // The job would end without this slot after the tasks ahead and its own longest task.
+        auto const ends_after = tasks_ahead * slot.lanes / tasks_per_second +
+                                slot.faster.slowness * profile.longest_of(tasks);
+        auto const loss = slot.slowness * profile.excess(ends_after / slot.slowness);
+        auto const gain = jobs_behind * slot.lanes / tasks_per_second - loss;
+        if (gain > best_gain)
+        {
+            best = &job;
+            best_gain = gain;
+        }
+        jobs_behind -= 1;
+        if (++considered == max_jobs_considered ||
+            jobs_behind * slot.lanes / tasks_per_second <= best_gain)
+        {
+            break;
+        }
+    }
+    return best;
+}
+
+} // namespace filbertroad::scheduling::internal
--- a/filbertroad/scheduling/internal/job_store.cpp
+++ b/filbertroad/scheduling/internal/job_store.cpp
@@ -82,10 +82,19 @@
     }
     else
     {
-        // Only the first job of a lane is taken from, and its key only gets smaller: the order of
-        // the set stays right without moving it.
+        // A smaller key of the first job leaves the order of the set as it is.
+        auto& jobs = job.in_lane->jobs;
+        bool const is_first = &*jobs.begin() == &job;
+        if (!is_first)
+        {
+            jobs.erase(jobs.iterator_to(job));
+        }
         job.tasks.pop_back();
         job.order_key -= ageing_per_task;
+        if (!is_first)
+        {
+            jobs.insert(job);
+        }
     }
     --this->queued;
     --job.in_lane->queued;
--- a/filbertroad/scheduling/internal/job_store.hpp
+++ b/filbertroad/scheduling/internal/job_store.hpp
@@ -111,6 +111,8 @@
     std::uint32_t placement = 0;
     job_set<order_tag, by_order> jobs;
     std::uint32_t queued = 0;
+    /// Number of the last dispatch in which no job of the lane gained from a free slot.
+    std::uint64_t waits_in = 0;
     /// Position in the list of lanes with queued jobs, or no_index.
     std::uint32_t active_position = no_index;
 };
--- /dev/null
+++ b/filbertroad/scheduling/internal/run_time_profile.hpp
@@ -0,0 +1,58 @@
+#ifndef FILBERTROAD_SCHEDULING_INTERNAL_RUN_TIME_PROFILE_HPP
+#define FILBERTROAD_SCHEDULING_INTERNAL_RUN_TIME_PROFILE_HPP
+
+/// Learnt distribution of run times on a target of slowness 1, as a histogram with four buckets for
+/// each factor of two. Old samples lose weight, so that a change shows after a few thousand tasks.
+///
+///     run_time_profile profile;
+///     profile.add(0.25);
+///     auto cost = profile.excess(2.0); // mean of max(0, run time - 2 s)
+///
+/// Times are in seconds. Not safe for several threads.
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace filbertroad::scheduling::internal
+{
+
+class run_time_profile
+{
+public:
+    run_time_profile();
+
+    void add(double seconds);
+    [[nodiscard]] std::uint32_t samples() const { return this->added; }
+    [[nodiscard]] double mean() const { return this->cached_mean; }
+    /// Mean of the part of a run time above `seconds`.
+    [[nodiscard]] double excess(double seconds) const;
+    /// Mean of the longest of `tasks` run times.
+    [[nodiscard]] double longest_of(std::uint32_t tasks) const;
+
+private:
+    static constexpr std::size_t bucket_count = 80;
+    static constexpr std::size_t doublings = 10;
+
+    struct bucket
+    {
+        double count = 0;
+        double sum = 0;
+    };
+
+    static std::size_t bucket_of(double seconds);
+    void refresh();
+
+    std::array<bucket, bucket_count> buckets;
+    /// Sums over this bucket and all later ones.
+    std::array<bucket, bucket_count + 1> from_here;
+    /// Mean of the longest of 1, 2, 4, ... run times.
+    std::array<double, doublings> longest;
+    double cached_mean = 0;
+    std::uint32_t added = 0;
+    std::uint32_t until_refresh = 1;
+};
+
+} // namespace filbertroad::scheduling::internal
+
+#endif
--- a/filbertroad/scheduling/internal/scheduler_state.hpp
+++ b/filbertroad/scheduling/internal/scheduler_state.hpp
@@ -62,6 +62,11 @@
 
     void advance(base::steady_time now) { this->last_time = std::max(this->last_time, now); }
 
+    /// The job of the lane that uses a free slot of the target, or null when each would better wait
+    /// for a faster target.
+    [[nodiscard]] internal::job_record* job_for(internal::lane& lane, std::uint32_t target);
+    void assign(internal::job_record& job, std::uint32_t target, std::vector<assignment>& out);
+
     internal::target_pool targets;
     internal::job_store jobs;
     std::vector<std::unique_ptr<internal::team_record>> teams;
@@ -73,6 +78,7 @@
     /// Time of the latest call; ages are reported as of it.
     base::steady_time last_time{};
     std::uint64_t assignments = 0;
+    std::uint64_t dispatches = 0;
     /// Placements that found no target in this dispatch.
     std::vector<char> blocked;
 };
--- a/filbertroad/scheduling/internal/target_learning.cpp
+++ b/filbertroad/scheduling/internal/target_learning.cpp
@@ -14,7 +14,6 @@
 /// Weight of the assumption that a target is as fast as the others, in samples.
 constexpr double prior_samples = 2;
 constexpr double max_route_samples = 512;
-constexpr double run_time_weight = 1.0 / 256;
 constexpr double failure_weight = 1.0 / 8;
 /// A target is ejected only after this many results, above this rate, and when it fails this many
 /// times more often than the others.
@@ -54,7 +53,7 @@
         learn(known.log_run_time, known.samples, max_route_samples, log_time - target.log_slowness);
     }
     learn(target.log_slowness, target.samples, max_speed_samples, log_time - known.log_run_time);
-    this->mean_run_time += (seconds / target.slowness - this->mean_run_time) * run_time_weight;
+    this->all_routes.add(seconds / target.slowness);
     this->update_slowness();
 }
 
--- a/filbertroad/scheduling/internal/target_pool.cpp
+++ b/filbertroad/scheduling/internal/target_pool.cpp
@@ -151,13 +151,11 @@
     }
 }
 
-std::optional<std::uint32_t> target_pool::choose(std::uint32_t placement,
-                                                 std::uint32_t waiting) const
+std::optional<std::uint32_t> target_pool::fastest_free(std::uint32_t placement) const
 {
-    auto const& candidates = this->placements[placement].targets;
     std::uint32_t best = no_target;
     double best_cost = std::numeric_limits<double>::max();
-    for (auto const number : candidates)
+    for (auto const number : this->placements[placement].targets)
     {
         auto const& target = this->targets[number];
         if (!target.has_room())
@@ -175,28 +173,27 @@
             best_cost = cost;
         }
     }
-    if (best == no_target)
-    {
-        return std::nullopt;
-    }
-    double const slowness = this->targets[best].slowness;
-    double faster_rate = 0;
-    double faster_slowness = 0;
-    for (auto const number : candidates)
+    return best == no_target ? std::nullopt : std::optional(best);
+}
+
+faster_targets target_pool::faster_than(std::uint32_t placement, std::uint32_t than) const
+{
+    auto const slowness = this->targets[than].slowness;
+    faster_targets faster;
+    double slots = 0;
+    double sum = 0;
+    for (auto const number : this->placements[placement].targets)
     {
         auto const& target = this->targets[number];
         if (target.limit > 0 && !target.has_room() && target.slowness * similar_speed < slowness)
         {
-            faster_rate += target.running / target.slowness;
-            faster_slowness = std::max(faster_slowness, target.slowness);
+            faster.rate += target.running / target.slowness;
+            slots += target.running;
+            sum += target.running * target.slowness;
         }
     }
-    // In units of the mean run time: all waiting tasks are served by the faster targets first.
-    if (faster_rate > 0 && waiting / faster_rate + faster_slowness < slowness)
-    {
-        return std::nullopt;
-    }
-    return best;
+    faster.slowness = slots > 0 ? sum / slots : 1;
+    return faster;
 }
 
 void target_pool::started(std::uint32_t target)
@@ -225,7 +222,7 @@
             rate += target.usable / target.slowness;
         }
     }
-    return rate / this->mean_run_time;
+    return rate / this->all_routes.mean();
 }
 
 double target_pool::jitter()
--- a/filbertroad/scheduling/internal/target_pool.hpp
+++ b/filbertroad/scheduling/internal/target_pool.hpp
@@ -8,12 +8,14 @@
 ///     target_pool pool(seed, ramp_up);
 ///     pool.update(info, now);
 ///     pool.refresh(now);
-///     auto choice = pool.choose(placement, waiting_tasks, now);
-///     pool.started(choice.target);
+///     auto target = pool.fastest_free(placement);
+///     pool.started(*target);
 ///
 /// Not safe for several threads.
 
 #include "filbertroad/base/clock.hpp"
+#include "filbertroad/scheduling/internal/job_choice.hpp"
+#include "filbertroad/scheduling/internal/run_time_profile.hpp"
 #include "filbertroad/scheduling/internal/target_health.hpp"
 #include "filbertroad/scheduling/scheduler.hpp"
 
@@ -103,10 +105,16 @@
     /// Brings limits that depend on time up to date. Call before choosing.
     void refresh(base::steady_time now);
     [[nodiscard]] std::uint32_t free_slots() const { return this->free; }
-    /// Target for the next of `waiting` tasks of a placement, or nothing when no target is free or
-    /// a faster one will be free soon enough.
-    [[nodiscard]] std::optional<std::uint32_t> choose(std::uint32_t placement,
-                                                      std::uint32_t waiting) const;
+    /// The free target on which a task of the placement is expected to end first.
+    [[nodiscard]] std::optional<std::uint32_t> fastest_free(std::uint32_t placement) const;
+    /// The busy targets of a placement that are clearly faster than a target.
+    [[nodiscard]] faster_targets faster_than(std::uint32_t placement, std::uint32_t target) const;
+    [[nodiscard]] double slowness(std::uint32_t target) const
+    {
+        return this->targets[target].slowness;
+    }
+    /// Run times of all routes together.
+    [[nodiscard]] run_time_profile const& run_times() const { return this->all_routes; }
     void started(std::uint32_t target);
     void stopped(std::uint32_t target);
     void succeeded(std::uint32_t target, std::uint32_t route, std::chrono::microseconds run_time,
@@ -151,8 +159,7 @@
     std::vector<target_record> targets;
     std::vector<placement_class> placements;
     std::vector<route_record> routes;
-    /// Run time in seconds on a target of slowness 1.
-    double mean_run_time = 0.3;
+    run_time_profile all_routes;
     std::uint32_t free = 0;
     std::uint64_t starts = 0;
     base::steady_time last_change{};
--- a/filbertroad/scheduling/scheduler.cpp
+++ b/filbertroad/scheduling/scheduler.cpp
@@ -130,6 +130,7 @@
         return;
     }
     state.targets.refresh(now);
+    ++state.dispatches;
     state.blocked.assign(state.targets.placements_count(), 0);
     while (state.targets.free_slots() > 0)
     {
@@ -138,20 +139,19 @@
         {
             return;
         }
-        auto const target = state.targets.choose(lane->placement, state.jobs.queued_tasks());
+        auto const target = state.targets.fastest_free(lane->placement);
         if (!target)
         {
             state.blocked[lane->placement] = 1;
             continue;
         }
-        auto& job = *lane->jobs.begin();
-        task_id const task{job.job, state.jobs.take(job)};
-        ++job.running;
-        ++lane->team->running;
-        lane->team->last_served = ++state.assignments;
-        state.targets.started(*target);
-        state.running[task] = {*target, lane->team, &job};
-        out.push_back({task, state.targets.name(*target)});
+        auto* const job = state.job_for(*lane, *target);
+        if (job == nullptr)
+        {
+            lane->waits_in = state.dispatches;
+            continue;
+        }
+        state.assign(*job, *target, out);
     }
 }
 
@@ -267,7 +267,7 @@
     {
         auto const& team = *lane->team;
         if (!team.configured || team.running >= team.max_running ||
-            this->blocked[lane->placement] != 0)
+            this->blocked[lane->placement] != 0 || lane->waits_in == this->dispatches)
         {
             continue;
         }
@@ -279,6 +279,33 @@
     return best;
 }
 
+internal::job_record* scheduler::state::job_for(internal::lane& lane, std::uint32_t target)
+{
+    auto const faster = this->targets.faster_than(lane.placement, target);
+    if (faster.rate <= 0)
+    {
+        return &*lane.jobs.begin();
+    }
+    return internal::choose_for_slow_slot(
+        lane,
+        {this->targets.slowness(target), faster,
+         static_cast<std::uint32_t>(this->jobs.active_lanes().size())},
+        this->targets.run_times());
+}
+
+void scheduler::state::assign(internal::job_record& job, std::uint32_t target,
+                              std::vector<assignment>& out)
+{
+    auto& team = *job.in_lane->team;
+    task_id const task{job.job, this->jobs.take(job)};
+    ++job.running;
+    ++team.running;
+    team.last_served = ++this->assignments;
+    this->targets.started(target);
+    this->running[task] = {target, &team, &job};
+    out.push_back({task, this->targets.name(target)});
+}
+
 scheduler::builder::builder() = default;
 
 scheduler::builder& scheduler::builder::seed(std::uint64_t value)
