Count jobs that arrive during a backlog when slots would stay idle

Cause: at 95 % load fast targets were waited for although idle slots prolong the busy period. Change: the gain of using a slow slot grows with 1 / (1 - utilisation), at most sevenfold.

--- a/filbertroad/scheduling/internal/job_choice.cpp
+++ b/filbertroad/scheduling/internal/job_choice.cpp
@@ -10,11 +10,18 @@
 /// Jobs of a lane that are considered; those behind them wait long enough to gain from any slot.
 constexpr std::uint32_t max_jobs_considered = 32;
 
+/// Work that waits delays not only the jobs that are queued now but also those that arrive before
+/// the queue is empty; their number grows with 1 / (1 - utilisation). More than this factor would
+/// use slow slots even where a faster one is free within milliseconds.
+constexpr double max_arrivals_factor = 7;
+
 } // namespace
 
 job_record* choose_for_slow_slot(lane& from, slow_slot const& slot, run_time_profile const& profile)
 {
     auto const tasks_per_second = slot.faster.rate / profile.mean();
+    auto const arrivals_factor = 1 / std::max(1 / max_arrivals_factor, 1 - slot.utilisation);
+    auto const gain_per_job = arrivals_factor * slot.lanes / tasks_per_second;
     auto jobs_behind = static_cast<double>(from.jobs.size());
     double tasks_ahead = 0;
     job_record* best = nullptr;
@@ -28,15 +35,14 @@
         auto const ends_after = tasks_ahead * slot.lanes / tasks_per_second +
                                 slot.faster.slowness * profile.longest_of(tasks);
         auto const loss = slot.slowness * profile.excess(ends_after / slot.slowness);
-        auto const gain = jobs_behind * slot.lanes / tasks_per_second - loss;
+        auto const gain = jobs_behind * gain_per_job - loss;
         if (gain > best_gain)
         {
             best = &job;
             best_gain = gain;
         }
         jobs_behind -= 1;
-        if (++considered == max_jobs_considered ||
-            jobs_behind * slot.lanes / tasks_per_second <= best_gain)
+        if (++considered == max_jobs_considered || jobs_behind * gain_per_job <= best_gain)
         {
             break;
         }
--- a/filbertroad/scheduling/internal/job_choice.hpp
+++ b/filbertroad/scheduling/internal/job_choice.hpp
@@ -33,6 +33,8 @@
     faster_targets faster;
     /// Lanes with queued jobs; each gets about the same share of the slots.
     std::uint32_t lanes = 1;
+    /// Share of the capacity in use, over the last half minute.
+    double utilisation = 0;
 };
 
 /// The job that gains most, or null when each would better wait.
--- a/filbertroad/scheduling/internal/target_pool.cpp
+++ b/filbertroad/scheduling/internal/target_pool.cpp
@@ -9,6 +9,7 @@
 namespace
 {
 
+constexpr std::chrono::seconds utilisation_window{30};
 /// Targets whose slowness differs by less count as equally fast.
 constexpr double similar_speed = 1.25;
 
@@ -144,11 +145,21 @@
 void target_pool::refresh(base::steady_time now)
 {
     this->free = 0;
+    double used = 0;
+    double all = 0;
     for (auto& target : this->targets)
     {
+        // Until now the limits of the last refresh were in force.
+        auto const limit = std::max(target.limit, target.running);
+        used += target.running / target.slowness;
+        all += limit / target.slowness;
         target.limit = this->limit_of(target, now);
         this->free += target.has_room() ? target.limit - target.running : 0;
     }
+    auto const step = std::chrono::duration<double>(now - this->last_refresh) / utilisation_window;
+    this->mean_utilisation +=
+        all > 0 ? (used / all - this->mean_utilisation) * std::min(1.0, step) : 0;
+    this->last_refresh = now;
 }
 
 std::optional<std::uint32_t> target_pool::fastest_free(std::uint32_t placement) const
--- a/filbertroad/scheduling/internal/target_pool.hpp
+++ b/filbertroad/scheduling/internal/target_pool.hpp
@@ -113,6 +113,8 @@
     {
         return this->targets[target].slowness;
     }
+    /// Share of the open capacity in use, averaged over about half a minute.
+    [[nodiscard]] double utilisation() const { return this->mean_utilisation; }
     /// Run times of all routes together.
     [[nodiscard]] run_time_profile const& run_times() const { return this->all_routes; }
     void started(std::uint32_t target);
@@ -161,6 +163,8 @@
     std::vector<route_record> routes;
     run_time_profile all_routes;
     std::uint32_t free = 0;
+    double mean_utilisation = 0;
+    base::steady_time last_refresh{};
     std::uint64_t starts = 0;
     base::steady_time last_change{};
 };
--- a/filbertroad/scheduling/scheduler.cpp
+++ b/filbertroad/scheduling/scheduler.cpp
@@ -289,7 +289,7 @@
     return internal::choose_for_slow_slot(
         lane,
         {this->targets.slowness(target), faster,
-         static_cast<std::uint32_t>(this->jobs.active_lanes().size())},
+         static_cast<std::uint32_t>(this->jobs.active_lanes().size()), this->targets.utilisation()},
         this->targets.run_times());
 }
 
