--- a/filbertroad/scheduling/internal/target_learning.cpp
+++ b/filbertroad/scheduling/internal/target_learning.cpp
@@ -8,9 +8,9 @@
 namespace
 {
 
-/// Run times of one route differ by a factor of 20, so that fewer samples than this give an
-/// unsteady order of targets.
-constexpr double max_speed_samples = 64;
+/// Run times of one route differ by a factor of 20 and more, so that fewer samples than this give
+/// an unsteady order of targets.
+constexpr double max_speed_samples = 256;
 /// Weight of the assumption that a target is as fast as the others, in samples.
 constexpr double prior_samples = 2;
 constexpr double max_route_samples = 512;
