Measure beside the ideal that starts on the fastest free target

Cause: the trial model in the design compared with a queue that starts on the fastest free target; the reference of the response ratio also uses run times to choose targets. Change: filbertroad-measure replays that variant too.

--- a/filbertroad/measure/comparison.cpp
+++ b/filbertroad/measure/comparison.cpp
@@ -27,6 +27,7 @@
 {
     ours,
     ideal,
+    ideal_fastest_free,
     ideal_first_come,
     round_robin,
     two_choices,
@@ -35,7 +36,8 @@
 };
 
 constexpr std::array<std::string_view, system_count> system_names{
-    "filbertroad", "ideal", "ideal_first_come", "round_robin", "two_choices", "agent_queue"};
+    "filbertroad", "ideal",       "ideal_fastest_free", "ideal_first_come",
+    "round_robin", "two_choices", "agent_queue"};
 
 struct system_figures
 {
@@ -67,9 +69,11 @@
     switch (which)
     {
     case ideal:
-        return replay_ideal(content, ideal_order::fewest_tasks);
+        return replay_ideal(content, ideal_kind::ends_first);
+    case ideal_fastest_free:
+        return replay_ideal(content, ideal_kind::fastest_free);
     case ideal_first_come:
-        return replay_ideal(content, ideal_order::first_come);
+        return replay_ideal(content, ideal_kind::first_come);
     case round_robin:
         return replay_baseline(content, baseline::round_robin, seed);
     case two_choices:
@@ -183,7 +187,8 @@
     auto const& measured = cell.systems[ours];
     if (cell.options.load < burst_load)
     {
-        for (auto const which : {ours, ideal_first_come, round_robin, two_choices, agent_queue})
+        for (auto const which :
+             {ours, ideal_fastest_free, ideal_first_come, round_robin, two_choices, agent_queue})
         {
             print_ratios(out, cell, which);
         }
--- a/filbertroad/measure/ideal.cpp
+++ b/filbertroad/measure/ideal.cpp
@@ -54,7 +54,7 @@
 class ideal_replay
 {
 public:
-    ideal_replay(trace const& content, ideal_order order) : content(content), order(order)
+    ideal_replay(trace const& content, ideal_kind kind) : content(content), kind(kind)
     {
         this->result.responses.resize(content.jobs.size(), 0);
         for (auto const& target : content.targets)
@@ -94,14 +94,13 @@
     /// With first_come all jobs are in one queue.
     team& team_of(std::uint32_t job)
     {
-        return this
-            ->teams[this->order == ideal_order::first_come ? 0 : this->content.jobs[job].team];
+        return this->teams[this->kind == ideal_kind::first_come ? 0 : this->content.jobs[job].team];
     }
 
     [[nodiscard]] time_us key(std::uint32_t job) const
     {
         auto const arrival = this->content.jobs[job].arrival;
-        return this->order == ideal_order::first_come
+        return this->kind == ideal_kind::first_come
                    ? arrival
                    : arrival + ageing_per_task * static_cast<time_us>(this->unstarted[job].size());
     }
@@ -120,6 +119,11 @@
             auto const start = std::max({*slot, this->now, reachable});
             auto const end = start + this->content.run_time(job, index, target);
             auto const answer = end + this->content.latency_to(target);
+            bool const is_candidate = this->kind != ideal_kind::fastest_free || *slot <= this->now;
+            if (!is_candidate)
+            {
+                continue;
+            }
             if (best.end < 0 || answer < best_answer)
             {
                 best = {job,    index,
@@ -231,7 +235,7 @@
     }
 
     trace const& content;
-    ideal_order order;
+    ideal_kind kind;
     std::vector<std::vector<time_us>> slots;
     std::map<std::uint32_t, team> teams;
     /// Indexes of the tasks of each job that have not started, in order.
@@ -244,9 +248,9 @@
 
 } // namespace
 
-outcome replay_ideal(trace const& content, ideal_order order)
+outcome replay_ideal(trace const& content, ideal_kind kind)
 {
-    return ideal_replay(content, order).run();
+    return ideal_replay(content, kind).run();
 }
 
 } // namespace filbertroad::measure
--- a/filbertroad/measure/measure_test.cpp
+++ b/filbertroad/measure/measure_test.cpp
@@ -49,7 +49,7 @@
 {
     auto const content = one_target({{.arrival = 0, .run_us = {1000, 1000}}});
     // Callers 3 ms, zone 0.1 ms, two runs of 2 ms one after the other, and back.
-    EXPECT_EQ(replay_ideal(content, ideal_order::fewest_tasks).responses.at(0),
+    EXPECT_EQ(replay_ideal(content, ideal_kind::ends_first).responses.at(0),
               3100 + 2 * 2000 + 3100);
     EXPECT_EQ(replay_scheduler(content, {}).responses.at(0), 3100 + 2 * 2000 + 200 + 3100);
 }
@@ -60,7 +60,7 @@
     content.targets = {{.name = "fast", .zone = 0, .slots = 1, .slowness = 1},
                        {.name = "slow", .zone = 0, .slots = 1, .slowness = 10}};
     content.jobs = {{.arrival = 0, .run_us = {10'000, 10'000}}};
-    EXPECT_EQ(replay_ideal(content, ideal_order::fewest_tasks).responses.at(0), 6200 + 20'000);
+    EXPECT_EQ(replay_ideal(content, ideal_kind::ends_first).responses.at(0), 6200 + 20'000);
 }
 
 TEST(ideal, is_not_worse_than_any_other_system)
@@ -75,7 +75,7 @@
             EXPECT_EQ(sample.refused(), 0U);
             return sample.mean();
         };
-        auto const ideal = mean(replay_ideal(content, ideal_order::fewest_tasks));
+        auto const ideal = mean(replay_ideal(content, ideal_kind::ends_first));
         EXPECT_LE(ideal, mean(replay_scheduler(content, {})));
         EXPECT_LE(ideal, mean(replay_baseline(content, baseline::round_robin, 1)));
         EXPECT_LE(ideal, mean(replay_baseline(content, baseline::two_choices, 1)));
--- a/filbertroad/measure/replay.hpp
+++ b/filbertroad/measure/replay.hpp
@@ -53,21 +53,24 @@
 /// The scheduler of this repository.
 [[nodiscard]] outcome replay_scheduler(trace const& content, replay_options const& options);
 
-/// How the ideal orders jobs.
-enum class ideal_order
+/// How the ideal orders jobs and chooses targets. Unless stated otherwise the order is that of the
+/// scheduler: teams by running tasks; within a team arrival plus 10 ms for each task that has not
+/// started.
+enum class ideal_kind
 {
-    /// As the scheduler: teams by running tasks; within a team arrival plus 10 ms for each task
-    /// that has not started.
-    fewest_tasks,
-    /// By arrival.
+    /// Each task goes, in order, to the target on which it ends first, waiting there for a busy
+    /// slot if need be. This is the reference of the response ratio.
+    ends_first,
+    /// Each task starts on the fastest free target; run times are not used for the choice.
+    fastest_free,
+    /// As ends_first, but jobs in order of arrival.
     first_come,
 };
 
 /// One global queue that knows every speed and run time and pays the network once each way: a task
 /// is at a target one latency after its job arrived, and a slot is taken again at the moment in
-/// which it becomes free. Each task goes, in order, to the target on which it ends first, waiting
-/// there for a busy slot if need be.
-[[nodiscard]] outcome replay_ideal(trace const& content, ideal_order order);
+/// which it becomes free.
+[[nodiscard]] outcome replay_ideal(trace const& content, ideal_kind kind);
 
 /// Simple ways to send each task as soon as it arrives; each agent has a queue in order of arrival.
 enum class baseline
