Add the command line filbertroad

Cause: operators and callers need a program for every request of docs/api.md, and the processes of the roles need a place to be started from.

Change: library cli (TCLAP) and the program build/bin/filbertroad with the commands check, submit, job, zone, target, routes, pools, teams, status and version; entry and agent are built in as soon as the library server compiles run_entry.cpp and run_agent.cpp. A request goes to the next entry when one does not answer or answers 429 or 503; a submission keeps its key and a change its id. A table as `show` prints it is published with its version as base.

Conclusion: ready for the processes.

--- /dev/null
+++ b/filbertroad/cli/command_line.cpp
@@ -0,0 +1,103 @@
+#include "filbertroad/cli/command_line.hpp"
+
+#include "filbertroad/cli/internal/commands.hpp"
+
+#include <algorithm>
+#include <array>
+#include <tclap/ArgException.h>
+
+namespace filbertroad::cli
+{
+namespace
+{
+
+using internal::command;
+
+std::vector<command> all_commands()
+{
+    std::vector<command> out;
+    for (auto const group :
+         {internal::process_commands(), internal::job_commands(), internal::operator_commands()})
+    {
+        out.insert(out.end(), group.begin(), group.end());
+    }
+    return out;
+}
+
+/// Lists the commands that begin with `prefix`.
+void print_usage(std::string const& prefix, std::ostream& out)
+{
+    constexpr std::size_t name_width = 16;
+    out << "usage: filbertroad COMMAND [ARGUMENTS]; COMMAND --help tells its arguments\n\n";
+    for (auto const& command : all_commands())
+    {
+        if (command.name.starts_with(prefix))
+        {
+            std::string name(command.name);
+            name.resize(std::max(name.size(), name_width), ' ');
+            out << "  " << name << command.summary << "\n";
+        }
+    }
+    out << "\nexit codes: 0 done or complete, 1 refused or failed, 2 command line or settings not "
+           "valid,\n3 no entry answered, 4 job not ended\n";
+}
+
+bool is_help(std::string const& argument)
+{
+    return argument == "--help" || argument == "-h" || argument == "help";
+}
+
+int run_command(command const& chosen, std::vector<std::string> arguments, environment& outside)
+{
+    internal::invocation const call{std::string(chosen.name), chosen.summary, std::move(arguments),
+                                    outside};
+    try
+    {
+        return chosen.run(call);
+    }
+    catch (TCLAP::ExitException const& end)
+    {
+        return end.getExitStatus();
+    }
+    catch (TCLAP::ArgException const& fault)
+    {
+        outside.err << "filbertroad " << call.name << ": " << fault.argId() << ": " << fault.error()
+                    << "; see filbertroad " << call.name << " --help\n";
+        return exit_usage;
+    }
+}
+
+} // namespace
+
+int run(std::vector<std::string> const& arguments, environment& outside)
+{
+    if (arguments.empty() || is_help(arguments[0]))
+    {
+        print_usage("", arguments.empty() ? outside.err : outside.out);
+        return arguments.empty() ? exit_usage : exit_ok;
+    }
+    auto const& one_word = arguments[0];
+    auto const two_words = arguments.size() > 1 ? one_word + " " + arguments[1] : one_word;
+    auto const commands = all_commands();
+    for (auto const& command : commands)
+    {
+        if (command.name == one_word || command.name == two_words)
+        {
+            auto const words = command.name == one_word ? 1 : 2;
+            return run_command(command, {arguments.begin() + words, arguments.end()}, outside);
+        }
+    }
+    bool const is_group = std::any_of(commands.begin(), commands.end(),
+                                      [&](command const& command)
+                                      { return command.name.starts_with(one_word + " "); });
+    if (is_group && arguments.size() > 1 && is_help(arguments[1]))
+    {
+        print_usage(one_word + " ", outside.out);
+        return exit_ok;
+    }
+    outside.err << "filbertroad: no command '" << two_words << "'\n";
+    print_usage(is_group ? one_word + " " : "", outside.err);
+    return exit_usage;
+}
+
+} // namespace filbertroad::cli
--- /dev/null
+++ b/filbertroad/cli/command_line_test.cpp
@@ -0,0 +1,186 @@
+#include "filbertroad/cli/command_line.hpp"
+
+#include <cstdio>
+#include <deque>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+#include <unistd.h>
+
+namespace filbertroad::cli
+{
+namespace
+{
+
+net::http_response answer(unsigned status, std::string body)
+{
+    net::http_response out;
+    out.status = status;
+    out.body = std::move(body);
+    return out;
+}
+
+net::http_result no_answer()
+{
+    return net::http_failure{{net::net_error::cannot_connect, "refused"}, false};
+}
+
+/// Entries that give the answers that a test has set, in order.
+class command_line_test : public testing::Test
+{
+protected:
+    int run_with(std::vector<std::string> arguments, bool to_entries = true)
+    {
+        if (to_entries)
+        {
+            for (std::string const argument :
+                 {"--entry", "127.0.0.1:1", "--entry", "127.0.0.1:2", "--token", "t"})
+            {
+                arguments.push_back(argument);
+            }
+        }
+        this->out.str("");
+        this->err.str("");
+        environment outside{this->out, this->err, this->world};
+        return run(arguments, outside);
+    }
+
+    base::manual_clock clock;
+    std::deque<net::http_result> answers;
+    std::vector<net::http_request> requests;
+    std::vector<std::string> addresses;
+    std::vector<std::chrono::milliseconds> pauses;
+    std::ostringstream out;
+    std::ostringstream err;
+    transport world{.send =
+                        [this](std::string const& address, net::http_request const& request,
+                               std::chrono::milliseconds /*timeout*/)
+                    {
+                        this->addresses.push_back(address);
+                        this->requests.push_back(request);
+                        if (this->answers.empty())
+                        {
+                            return no_answer();
+                        }
+                        auto next = std::move(this->answers.front());
+                        this->answers.pop_front();
+                        return next;
+                    },
+                    .pause =
+                        [this](std::chrono::milliseconds time)
+                    {
+                        this->pauses.push_back(time);
+                        this->clock.advance(time);
+                    },
+                    .clock = &clock};
+};
+
+std::string const complete_job =
+    R"({"key":"k","state":"complete","finished":1,"task_count":1,"reason":"",)"
+    R"("results":[{"index":0,"outcome":"succeeded","body":"42","reason":""}]})";
+
+// Guards against a second job: a repeated submission must carry the same key and body.
+TEST_F(command_line_test, submission_is_repeated_at_the_next_entry_under_the_same_key)
+{
+    this->answers.emplace_back(no_answer());
+    this->answers.emplace_back(
+        answer(503, R"({"error":{"code":"c"},"not_run":"unknown","retry_after_ms":700})"));
+    this->answers.emplace_back(answer(202, R"({"state":"running"})"));
+    this->answers.emplace_back(answer(200, complete_job));
+    EXPECT_EQ(this->run_with({"submit", "--route", "stock", "--payload", "a", "--count", "2",
+                              "--need", "gpu", "--repeatable"}),
+              exit_ok);
+    EXPECT_EQ(this->addresses, (std::vector<std::string>{"127.0.0.1:1", "127.0.0.1:2",
+                                                         "127.0.0.1:1", "127.0.0.1:1"}));
+    EXPECT_EQ(this->pauses[1], std::chrono::milliseconds(700));
+    for (auto const& request : this->requests)
+    {
+        EXPECT_EQ(request.method, "PUT");
+        EXPECT_EQ(request.path, this->requests[0].path);
+        EXPECT_EQ(
+            request.body,
+            R"({"tasks":[{"payload":"a"},{"payload":"a"}],"needs":["gpu"],"repeatable":true})");
+        EXPECT_EQ(request.header("authorization"), "Bearer t");
+    }
+    EXPECT_EQ(this->out.str(), "k: complete, 1 of 1 tasks finished, 1 complete, 0 failed\n");
+}
+
+TEST_F(command_line_test, entries_that_never_answer_end_the_command)
+{
+    EXPECT_EQ(this->run_with({"status", "--timeout-ms", "1000"}), exit_no_answer);
+    EXPECT_NE(this->err.str().find("127.0.0.1:"), std::string::npos);
+    EXPECT_GE(this->addresses.size(), 2U);
+}
+
+// Guards against a change that is made twice because its repeat has another id.
+TEST_F(command_line_test, zone_change_keeps_its_id_when_it_is_repeated)
+{
+    this->answers.emplace_back(no_answer());
+    this->answers.emplace_back(answer(200, R"({"version":9})"));
+    EXPECT_EQ(this->run_with({"zone", "out", "khi-b", "--base", "4"}), exit_ok);
+    EXPECT_EQ(this->requests[0].query, this->requests[1].query);
+    EXPECT_EQ(this->requests[1].path, "/v1/zones/khi-b");
+    EXPECT_EQ(this->requests[1].body, R"({"in_service":false,"base":4})");
+    EXPECT_EQ(this->out.str(), "zone khi-b is out of service, version 9\n");
+}
+
+TEST_F(command_line_test, shown_table_is_published_with_its_version_as_base)
+{
+    auto const path = testing::TempDir() + "table_" + std::to_string(getpid());
+    std::ofstream(path) << R"({"version":7,"table":{"pools":[]}})";
+    this->answers.emplace_back(answer(409, R"({"error":{"code":"conflict","detail":"d"},)"
+                                           R"("not_run":"yes","retry_after_ms":0,)"
+                                           R"("current_version":8})"));
+    EXPECT_EQ(this->run_with({"pools", "publish", path}), exit_refused);
+    EXPECT_EQ(this->requests[0].path, "/v1/tables/pools");
+    EXPECT_EQ(this->requests[0].query.find("base=7&change_id=cli-"), 0U);
+    EXPECT_EQ(this->requests[0].body, R"({"pools":[]})");
+    EXPECT_EQ(this->err.str(), "refused (409): conflict: d; not run: yes; current version: 8\n");
+    std::ofstream(path) << R"({"pools":[]})";
+    EXPECT_EQ(this->run_with({"pools", "publish", path}), exit_usage);
+    std::remove(path.c_str());
+}
+
+TEST_F(command_line_test, answers_are_printed_by_index_or_as_json)
+{
+    this->answers.emplace_back(answer(200, complete_job));
+    EXPECT_EQ(this->run_with({"job", "answer", "stock", "1790000000000-a"}), exit_ok);
+    EXPECT_NE(this->out.str().find("0\tsucceeded\t42\n"), std::string::npos);
+    this->answers.emplace_back(answer(200, complete_job));
+    EXPECT_EQ(this->run_with({"job", "status", "stock", "1790000000000-a", "--json"}), exit_ok);
+    EXPECT_EQ(this->out.str(), complete_job + "\n");
+}
+
+// Guards against a typing error that is taken for another command or sent to an entry.
+TEST_F(command_line_test, bad_command_lines_end_with_usage)
+{
+    std::vector<std::vector<std::string>> const lines{
+        {},
+        {"zones", "out", "a"},
+        {"zone"},
+        {"zone", "off", "a"},
+        {"zone", "out"},
+        {"zone", "out", "a", "--colour", "1"},
+        {"zone", "out", "--colour"},
+        {"submit", "--payload", "x"},
+        {"status", "--entry", "localhost:80"},
+    };
+    for (auto const& line : lines)
+    {
+        EXPECT_EQ(this->run_with(line, !line.empty()), exit_usage) << this->err.str();
+        EXPECT_FALSE(this->err.str().empty());
+    }
+    EXPECT_TRUE(this->requests.empty());
+}
+
+TEST_F(command_line_test, check_names_the_fault_of_a_settings_file)
+{
+    auto const path = testing::TempDir() + "settings_" + std::to_string(getpid());
+    std::ofstream(path) << "role = \"agent\"\ncolour = 1\n";
+    EXPECT_EQ(this->run_with({"check", path}, false), exit_usage);
+    EXPECT_EQ(this->err.str(), path + ":2: colour: unknown key\n");
+    std::remove(path.c_str());
+}
+
+} // namespace
+} // namespace filbertroad::cli
--- /dev/null
+++ b/filbertroad/cli/entry_client.cpp
@@ -0,0 +1,88 @@
+#include "filbertroad/cli/entry_client.hpp"
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <optional>
+#include <thread>
+
+namespace filbertroad::cli
+{
+namespace
+{
+
+bool is_transient(unsigned status)
+{
+    return status == 429 || status == 503;
+}
+
+std::chrono::milliseconds retry_after(net::http_response const& response)
+{
+    boost::json::error_code code;
+    auto const body = boost::json::parse(response.body, code);
+    auto const* const value =
+        !code && body.is_object() ? body.get_object().if_contains("retry_after_ms") : nullptr;
+    auto const* const number = value == nullptr ? nullptr : value->if_int64();
+    auto const wanted =
+        number == nullptr ? entry_client::round_pause : std::chrono::milliseconds(*number);
+    return std::clamp(wanted, std::chrono::milliseconds(0), entry_client::max_pause);
+}
+
+} // namespace
+
+transport real_transport(base::clock const& clock)
+{
+    return {.send = [](std::string const& address, net::http_request const& request,
+                       std::chrono::milliseconds timeout)
+            { return net::send_and_wait(address, request, timeout); },
+            .pause = [](std::chrono::milliseconds time) { std::this_thread::sleep_for(time); },
+            .clock = &clock};
+}
+
+entry_client::entry_client(std::vector<std::string> entries, std::string token, transport world)
+    : entries(std::move(entries)), token(std::move(token)), world(std::move(world))
+{
+}
+
+base::result<net::http_response, base::error<client_error>>
+entry_client::send(net::http_request request, std::chrono::milliseconds timeout,
+                   std::chrono::milliseconds patience)
+{
+    request.headers.push_back({"Authorization", "Bearer " + this->token});
+    auto const deadline = this->world.clock->steady_now() + patience;
+    std::optional<net::http_response> last_answer;
+    std::string last_failure;
+    for (std::size_t attempt = 1;; ++attempt)
+    {
+        auto result = this->world.send(this->entries[this->current], request, timeout);
+        if (result && !is_transient(result.value().status))
+        {
+            return std::move(result).value();
+        }
+        auto pause = std::chrono::milliseconds(0);
+        if (result)
+        {
+            last_answer = std::move(result).value();
+            pause = retry_after(*last_answer);
+        }
+        else
+        {
+            last_failure = this->entries[this->current] + ": " + result.error().error.detail;
+            pause = attempt % this->entries.size() == 0 ? round_pause : pause;
+        }
+        this->current = (this->current + 1) % this->entries.size();
+        bool const all_tried = attempt >= this->entries.size();
+        if (all_tried && this->world.clock->steady_now() + pause >= deadline)
+        {
+            break;
+        }
+        this->world.pause(pause);
+    }
+    if (last_answer)
+    {
+        return std::move(*last_answer);
+    }
+    return base::error<client_error>{client_error::no_entry_answered,
+                                     "no entry answered; last: " + last_failure};
+}
+
+} // namespace filbertroad::cli
--- /dev/null
+++ b/filbertroad/cli/internal/job_commands.cpp
@@ -0,0 +1,243 @@
+#include "filbertroad/cli/internal/answers.hpp"
+#include "filbertroad/cli/internal/parsing.hpp"
+#include "filbertroad/telemetry/trace_context.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <fstream>
+#include <iterator>
+#include <random>
+
+namespace filbertroad::cli::internal
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// Longest wait in one request. A wait is made of several requests, so that an entry that dies
+/// during it is noticed.
+constexpr milliseconds wait_per_request{5000};
+/// Time for an answer beyond the wait: an entry looks for a new owner for 9 s.
+constexpr milliseconds answer_time{12'000};
+
+std::string path_of(std::string const& route, std::string const& key)
+{
+    return "/v1/routes/" + route + "/jobs/" + key;
+}
+
+/// Repeats `request` until its job has ended or `wait` is over.
+client_result send_and_wait_for_end(entry_client& client, net::http_request request,
+                                    milliseconds wait, milliseconds patience)
+{
+    auto const deadline = client.clock().steady_now() + wait;
+    while (true)
+    {
+        auto const left =
+            std::chrono::duration_cast<milliseconds>(deadline - client.clock().steady_now());
+        auto const next = std::clamp(left, milliseconds(0), wait_per_request);
+        request.query = "wait_ms=" + std::to_string(next.count());
+        auto result = client.send(request, next + answer_time, patience);
+        bool const is_open = result && is_open_job(result.value());
+        if (!is_open || client.clock().steady_now() >= deadline)
+        {
+            return result;
+        }
+    }
+}
+
+std::string new_key(base::clock const& clock)
+{
+    std::random_device device;
+    std::mt19937_64 generator((std::uint64_t{device()} << 32U) | device());
+    return std::to_string(base::to_unix_ms(clock.system_now())) + "-" +
+           telemetry::span_id_text(telemetry::random_id(generator));
+}
+
+/// The arguments that describe the job of `submit`.
+class job_arguments
+{
+public:
+    explicit job_arguments(argument_parser& parser)
+        : payloads("", "payload", "payload of a task; repeatable", false, "TEXT", parser.line()),
+          count("", "count", "number of tasks that get each payload", false, 1, "N", parser.line()),
+          file("", "file", "file with one payload per line", false, "", "FILE", parser.line()),
+          body("", "body", "file with the whole job as JSON, instead of the other arguments", false,
+               "", "FILE", parser.line()),
+          needs("", "need", "label that a target must carry; repeatable", false, "LABEL",
+                parser.line()),
+          deadline_ms("", "deadline-ms", "time within which the last task must start", false, 0,
+                      "MS", parser.line()),
+          repeatable("", "repeatable", "the work may be submitted again under a new key",
+                     parser.line())
+    {
+    }
+
+    [[nodiscard]] std::string to_json()
+    {
+        if (this->body.isSet())
+        {
+            return read_file(this->body.getValue());
+        }
+        boost::json::object job;
+        auto& tasks = job["tasks"].emplace_array();
+        for (auto const& payload : this->all_payloads())
+        {
+            for (unsigned i = 0; i < this->count.getValue(); ++i)
+            {
+                tasks.push_back(boost::json::object{{"payload", payload}});
+            }
+        }
+        if (this->needs.isSet())
+        {
+            auto const& labels = this->needs.getValue();
+            job["needs"] = boost::json::array(labels.begin(), labels.end());
+        }
+        if (this->deadline_ms.isSet())
+        {
+            job["deadline_ms"] = this->deadline_ms.getValue();
+        }
+        if (this->repeatable.getValue())
+        {
+            job["repeatable"] = true;
+        }
+        return boost::json::serialize(job);
+    }
+
+private:
+    static std::string read_file(std::string const& path)
+    {
+        std::ifstream stream(path, std::ios::binary);
+        if (!stream)
+        {
+            throw TCLAP::CmdLineParseException("cannot read '" + path + "'");
+        }
+        return {std::istreambuf_iterator<char>(stream), {}};
+    }
+
+    std::vector<std::string> all_payloads()
+    {
+        auto out = this->payloads.getValue();
+        if (this->file.isSet())
+        {
+            std::istringstream lines(read_file(this->file.getValue()));
+            for (std::string line; std::getline(lines, line);)
+            {
+                out.push_back(line);
+            }
+        }
+        return out;
+    }
+
+    TCLAP::MultiArg<std::string> payloads;
+    TCLAP::ValueArg<unsigned> count;
+    TCLAP::ValueArg<std::string> file;
+    TCLAP::ValueArg<std::string> body;
+    TCLAP::MultiArg<std::string> needs;
+    TCLAP::ValueArg<unsigned> deadline_ms;
+    TCLAP::SwitchArg repeatable;
+};
+
+int submit(invocation const& call)
+{
+    constexpr unsigned default_wait_ms = 30'000;
+    argument_parser parser(call);
+    client_options options(parser);
+    TCLAP::ValueArg<std::string> route("", "route", "route of the job", true, "", "NAME",
+                                       parser.line());
+    TCLAP::ValueArg<std::string> key("", "key",
+                                     "key UNIX_MS-SUFFIX of the job; a new one if absent", false,
+                                     "", "KEY", parser.line());
+    TCLAP::ValueArg<unsigned> wait_ms("", "wait-ms", "time to wait for the end of the job", false,
+                                      default_wait_ms, "MS", parser.line());
+    job_arguments job(parser);
+    parser.parse();
+    auto client = options.make_client(call.outside);
+    auto const used_key = key.isSet() ? key.getValue() : new_key(client.clock());
+    net::http_request request;
+    request.method = "PUT";
+    request.path = path_of(route.getValue(), used_key);
+    request.body = job.to_json();
+    auto const result = send_and_wait_for_end(client, std::move(request),
+                                              milliseconds(wait_ms.getValue()), options.patience());
+    if (!result || result.value().status >= 300)
+    {
+        call.outside.err << "key: " << used_key << "\n";
+    }
+    return print_job(result, job_view::summary, options.wants_json(), call.outside);
+}
+
+/// Runs a command on an existing job.
+int on_job(invocation const& call, std::string_view method, std::string_view suffix, job_view view,
+           bool may_wait)
+{
+    argument_parser parser(call);
+    client_options options(parser);
+    TCLAP::UnlabeledValueArg<std::string> route("route", "route of the job", true, "", "ROUTE",
+                                                parser.line());
+    TCLAP::UnlabeledValueArg<std::string> key("key", "key of the job", true, "", "KEY",
+                                              parser.line());
+    TCLAP::ValueArg<unsigned> wait_ms("", "wait-ms", "time to wait for the end of the job", false,
+                                      0, "MS");
+    if (may_wait)
+    {
+        parser.line().add(wait_ms);
+    }
+    parser.parse();
+    auto client = options.make_client(call.outside);
+    net::http_request request;
+    request.method = method;
+    request.path = path_of(route.getValue(), key.getValue()).append(suffix);
+    auto const result =
+        may_wait ? send_and_wait_for_end(client, std::move(request),
+                                         milliseconds(wait_ms.getValue()), options.patience())
+                 : client.send(std::move(request), answer_time, options.patience());
+    return print_job(result, view, options.wants_json(), call.outside);
+}
+
+int job_status(invocation const& call)
+{
+    return on_job(call, "GET", "", job_view::summary, true);
+}
+
+int job_answer(invocation const& call)
+{
+    return on_job(call, "GET", "", job_view::answers, true);
+}
+
+int job_cancel(invocation const& call)
+{
+    return on_job(call, "POST", "/cancel", job_view::summary, true);
+}
+
+int job_ack(invocation const& call)
+{
+    return on_job(call, "DELETE", "", job_view::summary, false);
+}
+
+int job_explain(invocation const& call)
+{
+    return on_job(call, "GET", "/explain", job_view::history, false);
+}
+
+constexpr std::array commands{
+    command{"submit", "Submits a job and waits for its end.", submit},
+    command{"job status", "Prints the state of a job.", job_status},
+    command{"job answer", "Prints the answer of each task of a job.", job_answer},
+    command{"job cancel", "Cancels the tasks of a job that have not ended.", job_cancel},
+    command{"job ack", "Acknowledges the answer of a job, which is forgotten then.", job_ack},
+    command{"job explain", "Prints what happened to a job and its tasks.", job_explain},
+};
+
+} // namespace
+
+std::span<command const> job_commands()
+{
+    return commands;
+}
+
+} // namespace filbertroad::cli::internal
--- /dev/null
+++ b/filbertroad/cli/internal/process_commands.cpp
@@ -0,0 +1,127 @@
+#include "filbertroad/cli/internal/parsing.hpp"
+#include "filbertroad/server/run.hpp"
+#include "filbertroad/settings/settings.hpp"
+#include "filbertroad/telemetry/event_log.hpp"
+#include "filbertroad/telemetry/events.hpp"
+
+#include <array>
+
+namespace filbertroad::cli::internal
+{
+namespace
+{
+
+/// Reads the settings file that the arguments name; a fault is written as an event.
+base::result<settings::any_settings, int> load_settings(invocation const& call)
+{
+    argument_parser parser(call);
+    TCLAP::UnlabeledValueArg<std::string> file("file", "settings file; see docs/settings.md", true,
+                                               "", "FILE", parser.line());
+    parser.parse();
+    auto loaded = settings::load(file.getValue());
+    if (loaded)
+    {
+        return std::move(loaded).value();
+    }
+    auto const& fault = loaded.error();
+    if (auto const log = telemetry::open_event_log("-", "filbertroad"))
+    {
+        log.value()->write(telemetry::events::settings_rejected,
+                           {{"file", fault.file},
+                            {"line", std::to_string(fault.line)},
+                            {"key", fault.key},
+                            {"reason", fault.reason}});
+    }
+    return int{exit_usage};
+}
+
+/// Runs the process of a role with the settings that the arguments name.
+template <class Settings>
+[[maybe_unused]] int run_role(invocation const& call, int (*run)(Settings const&))
+{
+    auto const loaded = load_settings(call);
+    if (!loaded)
+    {
+        return loaded.error();
+    }
+    if (auto const* const settings = std::get_if<Settings>(&loaded.value()))
+    {
+        return run(*settings);
+    }
+    call.outside.err << "the settings file is for another role than " << call.name << "\n";
+    return exit_usage;
+}
+
+#ifdef FILBERTROAD_HAS_ENTRY
+int entry(invocation const& call)
+{
+    return run_role<settings::entry_settings>(call, server::run_entry);
+}
+#endif
+
+#ifdef FILBERTROAD_HAS_AGENT
+int agent(invocation const& call)
+{
+    return run_role<settings::agent_settings>(call, server::run_agent);
+}
+#endif
+
+int check(invocation const& call)
+{
+    argument_parser parser(call);
+    TCLAP::UnlabeledValueArg<std::string> file("file", "settings file", false, "", "FILE",
+                                               parser.line());
+    TCLAP::SwitchArg list("", "list", "print the page of all settings", parser.line());
+    TCLAP::SwitchArg events("", "events", "print the page of all log events", parser.line());
+    parser.parse();
+    if (list.getValue() || events.getValue())
+    {
+        call.outside.out << (list.getValue() ? settings::settings_page()
+                                             : telemetry::events_page());
+        return exit_ok;
+    }
+    if (!file.isSet())
+    {
+        throw TCLAP::CmdLineParseException("is required without --list and --events", "FILE");
+    }
+    auto const loaded = settings::load(file.getValue());
+    if (!loaded)
+    {
+        call.outside.err << settings::to_string(loaded.error()) << "\n";
+        return exit_usage;
+    }
+    bool const is_entry = std::holds_alternative<settings::entry_settings>(loaded.value());
+    call.outside.out << file.getValue() << ": valid settings of the role "
+                     << (is_entry ? "entry" : "agent") << "\n";
+    return exit_ok;
+}
+
+int version(invocation const& call)
+{
+    argument_parser parser(call);
+    TCLAP::SwitchArg json("", "json", "print as JSON", parser.line());
+    parser.parse();
+    call.outside.out << (json.getValue() ? "{\"version\":\"" FILBERTROAD_VERSION "\"}\n"
+                                         : "filbertroad " FILBERTROAD_VERSION "\n");
+    return exit_ok;
+}
+
+constexpr std::array commands{
+#ifdef FILBERTROAD_HAS_ENTRY
+    command{"entry", "Runs an entry until SIGTERM.", entry},
+#endif
+#ifdef FILBERTROAD_HAS_AGENT
+    command{"agent", "Runs an agent until SIGTERM.", agent},
+#endif
+    command{"check", "Checks a settings file, or prints the settings or events.", check},
+    command{"version", "Prints the version.", version},
+};
+
+} // namespace
+
+std::span<command const> process_commands()
+{
+    return commands;
+}
+
+} // namespace filbertroad::cli::internal
