Tell the other entries at once when a new view was folded

Change: an entry sends its state offset to all entries when it has folded a new view. Conclusion: the pause is bounded by the slower reader of the log and one message.

--- a/filbertroad/server/control_controller.cpp
+++ b/filbertroad/server/control_controller.cpp
@@ -398,8 +398,12 @@
 void control_controller::peer_offset_seen(model::process_id const& entry,
                                           std::uint64_t state_offset)
 {
-    boost::asio::post(this->strand, [this, entry, state_offset]
-                      { this->confirmation.peer_offset_seen(entry, state_offset); });
+    boost::asio::post(this->strand,
+                      [this, entry, state_offset]
+                      {
+                          this->confirmation.peer_offset_seen(entry, state_offset);
+                          this->refresh_confirmation(this->clock.steady_now());
+                      });
 }
 
 void control_controller::agent_linked(wire::agent const& agent)
--- a/filbertroad/server/entry_core.cpp
+++ b/filbertroad/server/entry_core.cpp
@@ -247,6 +247,11 @@
     if (applied.view_changed)
     {
         this->links.connect_members(state->members());
+        // The others confirm their state only once they know that most members have this view, and
+        // no task starts until then.
+        wire::link_message pong;
+        *pong.mutable_pong() = this->control_state.pong();
+        this->links.send_to_all_entries(pong);
     }
     this->shard_objects.apply_state(*state, this->links.linked_agents());
     if (applied.view_changed || applied.service_changed)
--- a/filbertroad/server/entry_links.cpp
+++ b/filbertroad/server/entry_links.cpp
@@ -410,11 +410,22 @@
 }
 
 void entry_links::send_to_all_agents(wire::link_message const& message)
+{
+    this->send_to_all(this->agents, message);
+}
+
+void entry_links::send_to_all_entries(wire::link_message const& message)
+{
+    this->send_to_all(this->entries, message);
+}
+
+void entry_links::send_to_all(std::unordered_map<model::process_id, link_ptr> const& peers,
+                              wire::link_message const& message)
 {
     std::vector<link_ptr> links;
     {
         lock_guard const guard(this->lock);
-        for (auto const& [id, link] : this->agents)
+        for (auto const& [id, link] : peers)
         {
             links.push_back(link);
         }
--- a/filbertroad/server/entry_links.hpp
+++ b/filbertroad/server/entry_links.hpp
@@ -87,6 +87,7 @@
     bool send_to_agent(model::process_id const& agent, wire::link_message const& message);
     bool send_to_entry(model::process_id const& entry, wire::link_message const& message);
     void send_to_all_agents(wire::link_message const& message);
+    void send_to_all_entries(wire::link_message const& message);
 
     [[nodiscard]] std::vector<model::process_id> linked_entries() const;
     [[nodiscard]] std::vector<linked_agent> linked_agents() const;
@@ -128,6 +129,8 @@
                              wire::link_message& message);
     void answer_ping(link_ptr const& link, wire::ping const& ping);
     void dial_due(base::steady_time now);
+    void send_to_all(std::unordered_map<model::process_id, link_ptr> const& peers,
+                     wire::link_message const& message);
 
     boost::asio::io_context& io;
     base::clock const& clock;
