Test the stand-ins' services and the faults they imitate

Cause: the stand-ins decide whether end-to-end tests prove anything, so their faults and refusals need tests of their own.

A target on port 0 announces the port that it got.

--- a/filbertroad/net/http_test.cpp
+++ b/filbertroad/net/http_test.cpp
@@ -318,6 +318,22 @@
               net_error::protocol);
 }
 
+// Guards against a stand-in whose faults do not reach its client.
+TEST_F(http_test, faults_of_a_server_reach_the_client_as_a_closed_connection)
+{
+    auto fault = answer_fault::no_answer;
+    this->listen([&](http_request const&, http_responder const& respond)
+                 { respond({.body = "whole", .fault = fault}); });
+    http_client client(this->io, this->address(), 1);
+    EXPECT_EQ(this->exchange(client, {.method = "GET", .path = "/"}).error().error.code,
+              net_error::closed);
+    fault = answer_fault::cut_body;
+    EXPECT_EQ(this->exchange(client, {.method = "GET", .path = "/"}).error().error.code,
+              net_error::closed);
+    fault = answer_fault::none;
+    EXPECT_TRUE(this->exchange(client, {.method = "GET", .path = "/"}));
+}
+
 TEST_F(http_test, time_limit_says_whether_the_request_left)
 {
     this->listen_and_hold();
--- a/filbertroad/standin/target_command.cpp
+++ b/filbertroad/standin/target_command.cpp
@@ -67,7 +67,9 @@
             return false;
         }
         target.server = std::move(server.value());
-        std::cout << "target on port " << target.server->port() << std::endl;
+        auto const port = std::to_string(target.server->port());
+        target.service->set_address(address.substr(0, address.rfind(':') + 1) + port);
+        std::cout << "target on port " << port << std::endl;
         this->targets.push_back(std::move(target));
         return true;
     }
--- a/filbertroad/standin/target_service.hpp
+++ b/filbertroad/standin/target_service.hpp
@@ -27,6 +27,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace filbertroad::standin
@@ -39,7 +40,7 @@
     /// Own address, as announced.
     std::string address;
     std::string agent;
-    std::vector<std::string> labels;
+    std::vector<std::string> labels{};
     std::uint32_t slots = 8;
     /// Mean of the exponential run time of tasks whose payload has no `run_ms`.
     std::chrono::milliseconds mean_run_time{100};
@@ -94,6 +95,9 @@
     /// Handler for the HTTP server; the service must outlive it.
     [[nodiscard]] net::http_handler handler();
 
+    /// Sets the own address, for a server that has chosen its port.
+    void set_address(std::string value) { this->options.address = std::move(value); }
+
     /// Announces the target to its agent, now and then periodically.
     void announce();
 
