--- a/filbertroad/net/http_client.cpp
+++ b/filbertroad/net/http_client.cpp
@@ -116,6 +116,15 @@
     return message;
 }
 
+/// Bytes over 127 become question marks. Header values end up in strings of link messages, which
+/// must be UTF-8: a message with other bytes closes its link.
+std::string to_ascii(std::string text)
+{
+    std::replace_if(
+        text.begin(), text.end(), [](unsigned char c) { return c > 127; }, '?');
+    return text;
+}
+
 http_response to_response(http::response<http::string_body>&& message)
 {
     http_response result;
@@ -123,7 +132,8 @@
     result.content_type = std::string(message[http::field::content_type]);
     for (auto const& field : message)
     {
-        result.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        result.headers.push_back(
+            {std::string(field.name_string()), to_ascii(std::string(field.value()))});
     }
     result.body = std::move(message.body());
     return result;
--- a/filbertroad/net/http_test.cpp
+++ b/filbertroad/net/http_test.cpp
@@ -88,6 +88,59 @@
     }
 };
 
+/// A server that reads a head, sends `answer` and closes, one connection after the other.
+class closing_server
+{
+public:
+    closing_server(asio::io_context& io, std::string answer)
+        : acceptor(io, {asio::ip::address_v4::loopback(), 0}), socket(io), answer(std::move(answer))
+    {
+        this->accept();
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+    }
+
+    int heads = 0;
+
+private:
+    void accept()
+    {
+        this->acceptor.async_accept(this->socket,
+                                    [this](boost::system::error_code code)
+                                    {
+                                        if (!code)
+                                        {
+                                            this->read();
+                                        }
+                                    });
+    }
+
+    void read()
+    {
+        this->head.clear();
+        asio::async_read_until(this->socket, asio::dynamic_buffer(this->head), "\r\n\r\n",
+                               [this](boost::system::error_code code, std::size_t)
+                               {
+                                   if (code)
+                                   {
+                                       return;
+                                   }
+                                   ++this->heads;
+                                   asio::write(this->socket, asio::buffer(this->answer));
+                                   this->socket.close();
+                                   this->accept();
+                               });
+    }
+
+    tcp::acceptor acceptor;
+    tcp::socket socket;
+    std::string answer;
+    std::string head;
+};
+
 bool has(std::string_view text, std::string_view part)
 {
     return text.find(part) != std::string_view::npos;
@@ -193,6 +246,21 @@
     EXPECT_TRUE(this->requests.empty());
 }
 
+// Guards against header values that are not UTF-8, which would close the link that carries them on.
+TEST_F(http_test, header_values_that_are_not_ascii_do_not_pass)
+{
+    this->listen_and_hold();
+    EXPECT_TRUE(has(this->send_raw("GET / HTTP/1.1\r\ntraceparent: a\xff\r\n\r\n"),
+                    "header traceparent: expected ASCII"));
+    EXPECT_TRUE(has(this->send_raw("GET /\xff HTTP/1.1\r\n\r\n"), "HTTP/1.1 400"));
+    EXPECT_TRUE(this->requests.empty());
+    closing_server server(this->io, "HTTP/1.1 200 OK\r\nx-reason: \xff!\r\n"
+                                    "Content-Length: 0\r\n\r\n");
+    http_client client(this->io, server.address(), 1);
+    EXPECT_EQ(this->exchange(client, {.method = "GET", .path = "/"}).value().header("x-reason"),
+              "?!");
+}
+
 // Guards against a caller that waits without end for a request that the handler has forgotten.
 TEST_F(http_test, dropped_responder_answers_500)
 {
@@ -233,59 +301,6 @@
     EXPECT_TRUE(has(this->read_all(second), "HTTP/1.1 503"));
 }
 
-/// A server that reads a head, sends `answer` and closes, one connection after the other.
-class closing_server
-{
-public:
-    closing_server(asio::io_context& io, std::string answer)
-        : acceptor(io, {asio::ip::address_v4::loopback(), 0}), socket(io), answer(std::move(answer))
-    {
-        this->accept();
-    }
-
-    [[nodiscard]] std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
-    }
-
-    int heads = 0;
-
-private:
-    void accept()
-    {
-        this->acceptor.async_accept(this->socket,
-                                    [this](boost::system::error_code code)
-                                    {
-                                        if (!code)
-                                        {
-                                            this->read();
-                                        }
-                                    });
-    }
-
-    void read()
-    {
-        this->head.clear();
-        asio::async_read_until(this->socket, asio::dynamic_buffer(this->head), "\r\n\r\n",
-                               [this](boost::system::error_code code, std::size_t)
-                               {
-                                   if (code)
-                                   {
-                                       return;
-                                   }
-                                   ++this->heads;
-                                   asio::write(this->socket, asio::buffer(this->answer));
-                                   this->socket.close();
-                                   this->accept();
-                               });
-    }
-
-    tcp::acceptor acceptor;
-    tcp::socket socket;
-    std::string answer;
-    std::string head;
-};
-
 // Guards against a request lost on a kept connection that its server has closed in the meantime.
 TEST_F(http_test, kept_connection_closed_by_the_server_is_not_used)
 {
--- a/filbertroad/net/internal/http_connection.cpp
+++ b/filbertroad/net/internal/http_connection.cpp
@@ -70,6 +70,22 @@
     return result;
 }
 
+/// Name of the first header whose value has bytes over 127, or nothing. Header values end up in
+/// strings of link messages, which must be UTF-8: a message with other bytes closes its link.
+std::optional<std::string>
+field_with_other_than_ascii(http::request<http::string_body> const& message)
+{
+    for (auto const& field : message)
+    {
+        auto const value = field.value();
+        if (std::any_of(value.begin(), value.end(), [](unsigned char c) { return c > 127; }))
+        {
+            return std::string(field.name_string());
+        }
+    }
+    return std::nullopt;
+}
+
 class beast_connection final : public http_connection,
                                public std::enable_shared_from_this<beast_connection>
 {
@@ -334,12 +350,19 @@
         this->now_in = phase::handling;
         this->deadline = clock::time_point::max();
         auto const target = this->parser->get().target();
-        if (target.empty() || target.front() != '/')
+        if (target.empty() || target.front() != '/' ||
+            std::any_of(target.begin(), target.end(), [](unsigned char c) { return c > 127; }))
         {
             this->write(error_response(400, "bad_request", "request target: expected a path"),
                         false);
             return;
         }
+        if (auto const field = field_with_other_than_ascii(this->parser->get()))
+        {
+            this->write(error_response(400, "bad_request", "header " + *field + ": expected ASCII"),
+                        false);
+            return;
+        }
         auto const pending = std::make_shared<pending_answer>(this->weak_from_this());
         // The fields stay in the parser, which decides on keep-alive when the answer is sent.
         auto request = to_request(std::move(this->parser->get()));
