--- a/filbertroad/cli/internal/answers.cpp
+++ b/filbertroad/cli/internal/answers.cpp
@@ -112,9 +112,12 @@
 
 void print_entry(json::value const& entry, std::ostream& out)
 {
+    auto const confirmation = text(entry, "confirmation");
     out << "entry " << text(entry, "name") << " zone " << text(entry, "zone") << " "
-        << text(entry, "http_address") << " confirmed by " << text(entry, "confirmation") << " "
-        << text(entry, "confirmation_age_ms") << " ms ago"
+        << text(entry, "http_address")
+        << (confirmation == "none" ? ", not confirmed"
+                                   : ", confirmed by " + confirmation + " " +
+                                         text(entry, "confirmation_age_ms") + " ms ago")
         << (text(entry, "leaving") == "true" ? ", leaving" : "") << "\n";
     for (auto const& queue : items(entry, "queues"))
     {
