Make the server's sources pass clang-tidy

Cause: clang 14 deduces no aggregates and captures no structured bindings, and takes a defaulted comparison for a null pointer. Conclusion: no change of behaviour.

--- a/filbertroad/model/job_key.hpp
+++ b/filbertroad/model/job_key.hpp
@@ -51,6 +51,8 @@
     std::string route;
     std::string key;
 
+    // clang-tidy 14 mistakes the rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(job_id const&, job_id const&) = default;
 };
 
@@ -60,6 +62,8 @@
     std::string name;
     std::uint64_t incarnation = 0;
 
+    // clang-tidy 14 mistakes the rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(process_id const&, process_id const&) = default;
 };
 
--- a/filbertroad/server/shard_registry.cpp
+++ b/filbertroad/server/shard_registry.cpp
@@ -17,6 +17,9 @@
 {
     using Functions::operator()...;
 };
+// clang 14 does not deduce aggregates without this guide.
+template <class... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
 
 std::uint32_t shard_count(control::control_state const& state, std::string_view service)
 {
@@ -578,8 +581,10 @@
             *parts[route->id].add_requests() = request;
         }
     }
-    for (auto const& [id, part] : parts)
+    for (auto const& item : parts)
     {
+        auto const& id = item.first;
+        auto const& part = item.second;
         auto const shard = this->create(id);
         this->run(id, *shard,
                   [&part](hosted_shard& hosted, base::steady_time now, base::system_time wall)
--- a/filbertroad/server/shard_registry.hpp
+++ b/filbertroad/server/shard_registry.hpp
@@ -39,6 +39,8 @@
     std::string service;
     std::uint32_t shard = 0;
 
+    // clang-tidy 14 mistakes the rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(shard_id const&, shard_id const&) = default;
 };
 
