Test the entry's shards against news of older links

Cause: two links of an agent are served by different threads, so that a refusal or the end of an older link can be handled after the hello of the newer one. Conclusion: a task that was sent after a hello is not sent a second time.

--- /dev/null
+++ b/filbertroad/server/shard_registry_test.cpp
@@ -0,0 +1,196 @@
+#include "filbertroad/server/shard_registry.hpp"
+
+#include "filbertroad/base/hash.hpp"
+#include "filbertroad/wire/process_ids.hpp"
+
+#include <gtest/gtest.h>
+
+namespace filbertroad::server
+{
+namespace
+{
+
+using std::chrono::seconds;
+
+model::process_id const self{"entry-1", 1};
+model::process_id const agent_id{"agent-1", 7};
+
+/// A region with one entry, one route, one team and one agent with two slots.
+class shard_registry_fixture : public testing::Test
+{
+protected:
+    shard_registry_fixture()
+        : shards(this->clock, self, {}, 1000,
+                 {.to_agent =
+                      [this](model::process_id const&, wire::link_message const& message)
+                  {
+                      this->sent.push_back(message);
+                      return true;
+                  },
+                  .lookup = [](shard_id const&, model::process_id const&, wire::lookup const&) {},
+                  .is_confirmed = [] { return true; }})
+    {
+        wire::control_record record;
+        auto* const pool = record.mutable_table()->mutable_pools()->add_pools();
+        pool->set_name("all");
+        pool->set_service("kitrefill");
+        pool->set_shards(1);
+        this->apply(record);
+        auto* const route = record.mutable_table()->mutable_routes()->add_routes();
+        route->set_name("stock");
+        route->set_pool("all");
+        route->set_task_timeout_ms(1000);
+        this->apply(record);
+        auto* const team = record.mutable_table()->mutable_teams()->add_teams();
+        team->set_name("demo");
+        team->set_token("demo-token-000000001");
+        team->set_weight(1);
+        team->set_max_running(100);
+        team->set_max_queued(100);
+        this->apply(record);
+        record.Clear();
+        *record.mutable_joined()->mutable_entry()->mutable_id() = wire::to_wire(self);
+        record.mutable_joined()->mutable_entry()->set_zone("khi-b");
+        this->apply(record);
+        auto* const agent = record.mutable_agents_in()->add_agents();
+        *agent->mutable_id() = wire::to_wire(agent_id);
+        agent->set_zone("khi-b");
+        agent->set_service("kitrefill");
+        this->apply(record);
+        this->shards.apply_state(this->state, {});
+        // Keys are fresh from here on, and the target's slots have ramped up.
+        this->clock.advance(seconds(20));
+    }
+
+    void apply(wire::control_record const& record)
+    {
+        auto const applied =
+            this->state.apply(this->state.next_offset(), record, this->clock.system_now());
+        ASSERT_EQ(applied.outcome, control::apply_outcome::accepted) << applied.detail;
+    }
+
+    [[nodiscard]] linked_agent hello(std::uint64_t link) const
+    {
+        linked_agent agent;
+        agent.link = link;
+        *agent.hello.mutable_id() = wire::to_wire(agent_id);
+        agent.hello.set_zone("khi-b");
+        agent.hello.mutable_target()->set_name("target-1");
+        agent.hello.mutable_target()->set_service("kitrefill");
+        agent.hello.mutable_target()->set_slots(2);
+        agent.hello.mutable_target()->set_reachable(true);
+        return agent;
+    }
+
+    void submit()
+    {
+        wire::submit_request request;
+        auto& job = *request.mutable_job();
+        job.set_route("stock");
+        job.set_key(std::to_string(base::to_unix_ms(this->clock.system_now())) + "-a");
+        job.set_team("demo");
+        job.set_digest(base::sha256("body"));
+        job.add_tasks()->set_payload("p");
+        auto const target = resolve_route(this->state, "stock", job.key());
+        ASSERT_TRUE(target);
+        ASSERT_TRUE(this->shards.submit(target->id, request, target->limits,
+                                        [this](shard_answer const& answer)
+                                        { this->answers.push_back(answer); }));
+        this->tick();
+    }
+
+    void tick()
+    {
+        for (int i = 0; i < 100; ++i)
+        {
+            this->clock.advance(std::chrono::milliseconds(20));
+            this->shards.tick();
+        }
+    }
+
+    [[nodiscard]] std::vector<wire::start_task> starts() const
+    {
+        std::vector<wire::start_task> result;
+        for (auto const& message : this->sent)
+        {
+            if (message.has_start())
+            {
+                result.push_back(message.start());
+            }
+        }
+        return result;
+    }
+
+    base::manual_clock clock;
+    control::control_state state;
+    std::vector<wire::link_message> sent;
+    std::vector<shard_answer> answers;
+    shard_registry shards;
+};
+
+// Guards against a second start when the state is applied again with the list of linked agents.
+TEST_F(shard_registry_fixture, a_hello_that_is_applied_again_does_not_queue_sent_tasks_again)
+{
+    this->shards.agent_linked(this->state, this->hello(2));
+    this->submit();
+    ASSERT_EQ(this->starts().size(), 1U);
+    std::vector<linked_agent> const linked{this->hello(2)};
+    this->shards.apply_state(this->state, linked);
+    this->shards.agent_linked(this->state, this->hello(2));
+    this->tick();
+    EXPECT_EQ(this->starts().size(), 1U);
+}
+
+// Guards against a second start when a refusal on the old link is read after the new link's hello
+// has settled the task.
+TEST_F(shard_registry_fixture, a_refusal_on_an_older_link_is_ignored)
+{
+    this->shards.agent_linked(this->state, this->hello(2));
+    this->submit();
+    ASSERT_EQ(this->starts().size(), 1U);
+    wire::link_message refused;
+    *refused.mutable_refused()->mutable_task() = this->starts()[0].task();
+    refused.mutable_refused()->set_reason(wire::refusal_no_slot);
+    this->shards.agent_message(agent_id, 1, refused);
+    this->tick();
+    EXPECT_EQ(this->starts().size(), 1U);
+    this->shards.agent_message(agent_id, 2, refused);
+    this->tick();
+    EXPECT_EQ(this->starts().size(), 2U);
+}
+
+// Guards against an agent that counts as gone because its old link closed after the new one opened.
+TEST_F(shard_registry_fixture, the_end_of_an_older_link_does_not_unlink_the_agent)
+{
+    this->shards.agent_linked(this->state, this->hello(2));
+    this->shards.agent_linked(this->state, this->hello(3));
+    this->shards.agent_unlinked(agent_id, 2);
+    this->submit();
+    EXPECT_EQ(this->starts().size(), 1U);
+}
+
+TEST_F(shard_registry_fixture, a_new_change_of_teams_keeps_keys_fresh)
+{
+    this->shards.agent_linked(this->state, this->hello(2));
+    wire::control_record record;
+    *record.mutable_table()->mutable_teams() = this->state.teams();
+    record.mutable_table()->set_base(this->state.teams_version());
+    this->apply(record);
+    this->shards.apply_state(this->state, {});
+    this->submit();
+    EXPECT_EQ(this->starts().size(), 1U);
+    EXPECT_EQ(this->answers.size(), 1U);
+}
+
+// Guards against an answer "not held" from a member that acts on older tables than the asker.
+TEST_F(shard_registry_fixture, a_lookup_is_current_only_after_the_asker_s_offset_was_applied)
+{
+    wire::lookup lookup;
+    lookup.set_view(this->state.version());
+    EXPECT_TRUE(this->shards.answer_lookup(lookup).current());
+    lookup.set_view(this->state.version() + 1);
+    EXPECT_FALSE(this->shards.answer_lookup(lookup).current());
+}
+
+} // namespace
+} // namespace filbertroad::server
