Measure the work done while a zone leaves and returns

Cause: the zone change work ratio was not measured. Change: the replays take zones out and in; agents of a zone that left send held starts back; filbertroad-measure prints zone_change_work_ratio, completed work over that of the ideal with the same outage.

--- a/filbertroad/measure/ideal.cpp
+++ b/filbertroad/measure/ideal.cpp
@@ -17,10 +17,18 @@
 /// Tasks of the queue that one decision looks at; the rest would wait for later slots.
 constexpr std::uint32_t max_lookahead = 200;
 
+enum class event_kind
+{
+    job_arrived,
+    slot_freed,
+    zone_left,
+    zone_returned,
+};
+
 struct event
 {
-    /// A job arrived at the queue, or else a slot became free.
-    bool arrived = false;
+    event_kind kind;
+    /// The job, or the position of the outage.
     std::uint32_t job = 0;
 };
 
@@ -54,7 +62,8 @@
 class ideal_replay
 {
 public:
-    ideal_replay(trace const& content, ideal_kind kind) : content(content), kind(kind)
+    ideal_replay(trace const& content, ideal_kind kind, std::vector<zone_outage> const& outages)
+        : content(content), kind(kind), outages(outages)
     {
         this->result.responses.resize(content.jobs.size(), 0);
         for (auto const& target : content.targets)
@@ -65,7 +74,13 @@
         {
             this->unstarted.emplace_back(content.jobs[job].run_us.size());
             std::iota(this->unstarted.back().begin(), this->unstarted.back().end(), 0);
-            this->events.add(content.jobs[job].arrival + content.caller_latency, {true, job});
+            this->events.add(content.jobs[job].arrival + content.caller_latency,
+                             {event_kind::job_arrived, job});
+        }
+        for (std::uint32_t number = 0; number < outages.size(); ++number)
+        {
+            this->events.add(outages[number].from, {event_kind::zone_left, number});
+            this->events.add(outages[number].until, {event_kind::zone_returned, number});
         }
     }
 
@@ -75,15 +90,7 @@
         {
             auto const next = this->events.take();
             this->now = next.time;
-            if (next.event.arrived)
-            {
-                this->team_of(next.event.job)
-                    .jobs.insert({this->key(next.event.job), next.event.job});
-            }
-            else
-            {
-                --this->team_of(next.event.job).running;
-            }
+            this->handle(next.event);
             this->decide();
         }
         std::sort(this->result.completions.begin(), this->result.completions.end());
@@ -91,6 +98,42 @@
     }
 
 private:
+    void handle(event const& event)
+    {
+        switch (event.kind)
+        {
+        case event_kind::job_arrived:
+            this->team_of(event.job).jobs.insert({this->key(event.job), event.job});
+            break;
+        case event_kind::slot_freed:
+            --this->team_of(event.job).running;
+            break;
+        case event_kind::zone_left:
+            for (std::uint32_t target = 0; target < this->slots.size(); ++target)
+            {
+                for (auto& free_at : this->slots[target])
+                {
+                    free_at = this->after_outage(target, std::max(free_at, this->now));
+                }
+            }
+            break;
+        case event_kind::zone_returned:
+            break;
+        }
+    }
+
+    /// The time from which a slot that is empty at `time` can be used.
+    [[nodiscard]] time_us after_outage(std::uint32_t target, time_us time) const
+    {
+        for (auto const& outage : this->outages)
+        {
+            bool const out = outage.zone == this->content.targets[target].zone &&
+                             outage.from <= time && time < outage.until;
+            time = out ? outage.until : time;
+        }
+        return time;
+    }
+
     /// With first_come all jobs are in one queue.
     team& team_of(std::uint32_t job)
     {
@@ -225,8 +268,8 @@
         }
         ++team.running;
         team.last_served = ++this->served;
-        this->slots[place.target][place.slot] = place.end;
-        this->events.add(place.end, {false, job});
+        this->slots[place.target][place.slot] = this->after_outage(place.target, place.end);
+        this->events.add(place.end, {event_kind::slot_freed, job});
         this->result.completions.push_back(
             {place.end, this->content.jobs[job].run_us[place.index]});
         this->result.messages += 2;
@@ -237,6 +280,7 @@
 
     trace const& content;
     ideal_kind kind;
+    std::vector<zone_outage> const& outages;
     std::vector<std::vector<time_us>> slots;
     std::map<std::uint32_t, team> teams;
     /// Indexes of the tasks of each job that have not started, in order.
@@ -249,9 +293,9 @@
 
 } // namespace
 
-outcome replay_ideal(trace const& content, ideal_kind kind)
+outcome replay_ideal(trace const& content, ideal_kind kind, std::vector<zone_outage> const& outages)
 {
-    return ideal_replay(content, kind).run();
+    return ideal_replay(content, kind, outages).run();
 }
 
 } // namespace filbertroad::measure
--- a/filbertroad/measure/main.cpp
+++ b/filbertroad/measure/main.cpp
@@ -1,6 +1,7 @@
 #include "filbertroad/measure/comparison.hpp"
 #include "filbertroad/measure/generate.hpp"
 #include "filbertroad/measure/trace.hpp"
+#include "filbertroad/measure/zone_change.hpp"
 
 #include <fstream>
 #include <iostream>
@@ -26,6 +27,8 @@
     TCLAP::ValueArg<unsigned> threads{"", "threads", "Threads", false, 2, "NUMBER", this->line};
     TCLAP::ValueArg<std::string> only{
         "", "only", "Only cells whose name contains TEXT", false, "", "TEXT", this->line};
+    TCLAP::SwitchArg zone_change{"", "zone-change", "Measure only zone_change_work_ratio",
+                                 this->line};
     TCLAP::SwitchArg no_baselines{"", "no-baselines", "Leave out the baselines", this->line};
     TCLAP::ValueArg<std::string> trace{"",     "trace",   "Replay this trace only", false, "",
                                        "FILE", this->line};
@@ -73,12 +76,16 @@
     std::cout << "# seeds " << given.seed.getValue() << " to "
               << given.seed.getValue() + given.seeds.getValue() - 1 << ", " << given.jobs.getValue()
               << " jobs each\n";
-    measure::compare({.first_seed = given.seed.getValue(),
-                      .seeds = given.seeds.getValue(),
-                      .jobs = given.jobs.getValue(),
-                      .threads = given.threads.getValue(),
-                      .only = given.only.getValue(),
-                      .with_baselines = !given.no_baselines.getValue()},
-                     std::cout);
+    measure::comparison_options const options{.first_seed = given.seed.getValue(),
+                                              .seeds = given.seeds.getValue(),
+                                              .jobs = given.jobs.getValue(),
+                                              .threads = given.threads.getValue(),
+                                              .only = given.only.getValue(),
+                                              .with_baselines = !given.no_baselines.getValue()};
+    if (!given.zone_change.getValue())
+    {
+        measure::compare(options, std::cout);
+    }
+    measure::measure_zone_change(options, std::cout);
     return 0;
 }
--- a/filbertroad/measure/measure_test.cpp
+++ b/filbertroad/measure/measure_test.cpp
@@ -63,6 +63,21 @@
     EXPECT_EQ(replay_ideal(content, ideal_kind::ends_first).responses.at(0), 6200 + 20'000);
 }
 
+TEST(zone_outage, no_task_starts_in_the_zone_and_held_starts_go_elsewhere)
+{
+    trace content;
+    content.targets = {{.name = "a", .zone = 0, .slots = 1, .slowness = 1},
+                       {.name = "b", .zone = 1, .slots = 1, .slowness = 1}};
+    content.jobs = {{.arrival = 0, .run_us = std::vector<std::uint32_t>(40, 100'000)}};
+    replay_options const options{.held_starts = 1, .outages = {{1, 1'000'000, 60'000'000}}};
+    auto const observed = replay_scheduler(content, options);
+    // One of the two slots remains after the first second, in which 20 tasks end.
+    EXPECT_NEAR(static_cast<double>(observed.responses.at(0)), 3e6, 0.1e6);
+    EXPECT_EQ(observed.wasted_messages, 2U);
+    auto const ideal = replay_ideal(content, ideal_kind::ends_first, options.outages);
+    EXPECT_NEAR(static_cast<double>(ideal.responses.at(0)), 3e6, 0.1e6);
+}
+
 TEST(ideal, is_not_worse_than_any_other_system)
 {
     for (double const range : {1.0, 4.0})
--- a/filbertroad/measure/replay.cpp
+++ b/filbertroad/measure/replay.cpp
@@ -25,6 +25,7 @@
     task_received,
     task_ended,
     task_reported,
+    task_refused,
     zone_left,
     zone_returned,
     tick,
@@ -118,6 +119,10 @@
         case event_kind::task_reported:
             this->report(event);
             break;
+        case event_kind::task_refused:
+            this->queue.task_refused({event.job, event.index},
+                                     scheduling::start_refusal::gate_closed, to_steady(this->now));
+            break;
         case event_kind::zone_left:
         case event_kind::zone_returned:
             this->set_zone(event.job, event.kind == event_kind::zone_returned);
@@ -176,10 +181,28 @@
             if (target.zone == zone)
             {
                 this->queue.set_target_open(target.name, open, to_steady(this->now));
+                if (!open)
+                {
+                    this->refuse_held(this->numbers[target.name]);
+                }
             }
         }
     }
 
+    /// The agent of a target that left sends back the starts that it holds, one message each.
+    void refuse_held(std::uint32_t target)
+    {
+        auto& held = this->agents[target].held;
+        auto const arrives = this->now + 2 * this->content.latency_to(target);
+        for (auto const& task : held)
+        {
+            ++this->result.messages;
+            this->result.wasted_messages += 2;
+            this->events.add(arrives, {event_kind::task_refused, task.job, task.index, target});
+        }
+        held.clear();
+    }
+
     void dispatch()
     {
         this->assignments.clear();
--- a/filbertroad/measure/replay.hpp
+++ b/filbertroad/measure/replay.hpp
@@ -81,7 +81,8 @@
 /// One global queue that knows every speed and run time and pays the network once each way: a task
 /// is at a target one latency after its job arrived, and a slot is taken again at the moment in
 /// which it becomes free.
-[[nodiscard]] outcome replay_ideal(trace const& content, ideal_kind kind);
+[[nodiscard]] outcome replay_ideal(trace const& content, ideal_kind kind,
+                                   std::vector<zone_outage> const& outages = {});
 
 /// Simple ways to send each task as soon as it arrives; each agent has a queue in order of arrival.
 enum class baseline
--- /dev/null
+++ b/filbertroad/measure/zone_change.hpp
@@ -0,0 +1,22 @@
+#ifndef FILBERTROAD_MEASURE_ZONE_CHANGE_HPP
+#define FILBERTROAD_MEASURE_ZONE_CHANGE_HPP
+
+/// Measures the work done while a zone leaves and returns under 95 % load.
+///
+///     measure::measure_zone_change({.seeds = 5, .jobs = 2000}, std::cout);
+///
+/// Thread safe.
+
+#include "filbertroad/measure/comparison.hpp"
+
+#include <iosfwd>
+
+namespace filbertroad::measure
+{
+
+/// Prints zone_change_work_ratio for each deployment and range of speeds, and the smallest of them.
+void measure_zone_change(comparison_options const& options, std::ostream& out);
+
+} // namespace filbertroad::measure
+
+#endif
