Add a benchmark of the scheduler and update slowness less often

Cause: each finished task recomputed the slowness of all targets with one exponential each. Change: a finished task updates its target; the mean of all targets follows once per round.

--- a/filbertroad/scheduling/internal/target_learning.cpp
+++ b/filbertroad/scheduling/internal/target_learning.cpp
@@ -54,7 +54,14 @@
     }
     learn(target.log_slowness, target.samples, max_speed_samples, log_time - known.log_run_time);
     this->all_routes.add(seconds / target.slowness);
-    this->update_slowness();
+    if (--this->until_update == 0)
+    {
+        this->update_all_slowness();
+    }
+    else
+    {
+        this->update_slowness(target);
+    }
 }
 
 void target_pool::failed(std::uint32_t number, job_evidence const& evidence, base::steady_time now)
@@ -107,7 +114,15 @@
     ++target.refusals_in_row;
 }
 
-void target_pool::update_slowness()
+void target_pool::update_slowness(target_record& target)
+{
+    auto const relative = target.log_slowness - this->mean_log_slowness;
+    auto const samples = static_cast<double>(target.samples);
+    target.slowness = std::exp(relative * samples / (samples + prior_samples));
+    target.speed = 1 / target.slowness;
+}
+
+void target_pool::update_all_slowness()
 {
     double sum = 0;
     double count = 0;
@@ -119,13 +134,13 @@
             ++count;
         }
     }
+    this->mean_log_slowness = sum / count;
     for (auto& target : this->targets)
     {
-        target.slowness = target.samples > 0
-                              ? std::exp((target.log_slowness - sum / count) * target.samples /
-                                         (target.samples + prior_samples))
-                              : 1;
+        this->update_slowness(target);
     }
+    // Each target learns from one task in between, on average.
+    this->until_update = static_cast<std::uint32_t>(count);
 }
 
 bool target_pool::may_take_out(std::uint32_t number, base::steady_time now) const
--- a/filbertroad/scheduling/internal/target_pool.cpp
+++ b/filbertroad/scheduling/internal/target_pool.cpp
@@ -153,8 +153,8 @@
     {
         // Until now the limits of the last refresh were in force.
         auto const limit = std::max(target.limit, target.running);
-        used += target.running / target.slowness;
-        all += limit / target.slowness;
+        used += target.running * target.speed;
+        all += limit * target.speed;
         target.limit = this->limit_of(target, now);
         this->free += target.has_room() ? target.limit - target.running : 0;
         this->holds += target.limit == target.info.slots ? target.info.held_starts : 0;
@@ -216,7 +216,7 @@
         auto const& target = this->targets[number];
         if (target.limit > 0 && !target.has_room() && target.slowness * similar_speed < slowness)
         {
-            faster.rate += target.running / target.slowness;
+            faster.rate += target.running * target.speed;
             slots += target.running;
             sum += target.running * target.slowness;
         }
@@ -248,7 +248,7 @@
         auto const& target = this->targets[number];
         if (target.open && target.health.state() == health_state::in_service)
         {
-            rate += target.usable / target.slowness;
+            rate += target.usable * target.speed;
         }
     }
     return rate / this->all_routes.mean();
--- a/filbertroad/scheduling/internal/target_pool.hpp
+++ b/filbertroad/scheduling/internal/target_pool.hpp
@@ -65,6 +65,8 @@
     std::uint32_t samples = 0;
     /// Run time relative to the mean target.
     double slowness = 1;
+    /// Inverse of slowness.
+    double speed = 1;
     /// Slots open now; set by refresh.
     std::uint32_t limit = 0;
 
@@ -159,7 +161,8 @@
     };
 
     void rebuild(base::steady_time now);
-    void update_slowness();
+    void update_slowness(target_record& target);
+    void update_all_slowness();
     [[nodiscard]] std::uint32_t limit_of(target_record& target, base::steady_time now);
     /// Whether the target may be ejected or held while at least half of the pool stays in service.
     [[nodiscard]] bool may_take_out(std::uint32_t target, base::steady_time now) const;
@@ -173,6 +176,8 @@
     std::vector<placement_class> placements;
     std::vector<route_record> routes;
     run_time_profile all_routes;
+    double mean_log_slowness = 0;
+    std::uint32_t until_update = 1;
     std::uint32_t free = 0;
     std::uint32_t holds = 0;
     std::uint32_t slots = 0;
--- /dev/null
+++ b/filbertroad/scheduling/scheduler_benchmark.cpp
@@ -0,0 +1,143 @@
+#include "filbertroad/scheduling/scheduler.hpp"
+
+#include <benchmark/benchmark.h>
+#include <cstdlib>
+#include <malloc.h>
+#include <numeric>
+#include <string>
+#include <vector>
+
+namespace filbertroad::scheduling
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t tasks_per_job = 10;
+constexpr std::uint32_t team_count = 20;
+
+/// A queue of jobs of ten tasks from twenty teams, with all slots busy.
+class filled_queue
+{
+public:
+    filled_queue(std::uint32_t targets, std::uint32_t tasks)
+        : queue(scheduler::builder().max_queued_tasks(10 * tasks).build())
+    {
+        for (std::uint32_t target = 0; target < targets; ++target)
+        {
+            this->queue.update_target({"target-" + std::to_string(target), "zone", {}, 8, 0},
+                                      this->now);
+        }
+        this->now += 3s;
+        for (std::uint32_t job = 0; job < (tasks + targets * 8) / tasks_per_job; ++job)
+        {
+            this->admit();
+        }
+        this->queue.dispatch(this->now, this->running);
+    }
+
+    void admit()
+    {
+        job_entry entry;
+        entry.job = this->next_job++;
+        entry.team = "team-" + std::to_string(entry.job % team_count);
+        entry.route = "route";
+        entry.tasks.resize(tasks_per_job);
+        std::iota(entry.tasks.begin(), entry.tasks.end(), 0);
+        benchmark::DoNotOptimize(this->queue.admit(entry, this->now).has_value());
+    }
+
+    /// Ends the task that runs longest.
+    void finish_one()
+    {
+        this->now += 1ms;
+        this->queue.task_finished(this->running[this->next].task, finish::succeeded, 200ms,
+                                  this->now);
+    }
+
+    /// Starts the next task in its place.
+    void start_one()
+    {
+        this->assignments.clear();
+        this->queue.dispatch(this->now, this->assignments);
+        this->running[this->next] = this->assignments.at(0);
+        this->next = (this->next + 1) % this->running.size();
+    }
+
+    scheduler queue;
+    base::steady_time now{1h};
+    std::uint64_t next_job = 0;
+    std::vector<assignment> running;
+    std::vector<assignment> assignments;
+    std::size_t next = 0;
+};
+
+/// Time from a finished task to the assignment in its place; jobs are admitted outside of it.
+void finish_and_assign(benchmark::State& state)
+{
+    filled_queue filled(static_cast<std::uint32_t>(state.range(0)),
+                        static_cast<std::uint32_t>(state.range(1)));
+    std::uint32_t taken = 0;
+    for (auto _ : state)
+    {
+        filled.finish_one();
+        filled.start_one();
+        if (++taken == tasks_per_job)
+        {
+            state.PauseTiming();
+            filled.admit();
+            taken = 0;
+            state.ResumeTiming();
+        }
+    }
+    state.SetItemsProcessed(state.iterations());
+}
+BENCHMARK(finish_and_assign)
+    ->ArgNames({"targets", "queued"})
+    ->ArgsProduct({{11, 64, 256}, {1000, 20'000, 200'000}});
+
+/// Time of one assignment when a whole round of slots is free, as after a burst.
+void assign_all_slots(benchmark::State& state)
+{
+    auto const targets = static_cast<std::uint32_t>(state.range(0));
+    filled_queue filled(targets, static_cast<std::uint32_t>(state.range(1)));
+    for (auto _ : state)
+    {
+        state.PauseTiming();
+        for (auto const& one : filled.running)
+        {
+            filled.queue.task_finished(one.task, finish::succeeded, 200ms, filled.now);
+        }
+        while (filled.queue.queue().queued < state.range(1))
+        {
+            filled.admit();
+        }
+        filled.running.clear();
+        filled.now += 100ms;
+        state.ResumeTiming();
+        filled.queue.dispatch(filled.now, filled.running);
+    }
+    state.SetItemsProcessed(state.iterations() * targets * 8);
+}
+BENCHMARK(assign_all_slots)
+    ->ArgNames({"targets", "queued"})
+    ->ArgsProduct({{11, 64, 256}, {1000, 20'000, 200'000}});
+
+/// Heap bytes for each queued task, as the counter bytes_per_task.
+void memory_of_queue(benchmark::State& state)
+{
+    auto const tasks = static_cast<std::uint32_t>(state.range(0));
+    std::size_t used = 0;
+    for (auto _ : state)
+    {
+        auto const before = mallinfo2().uordblks;
+        filled_queue const filled(64, tasks);
+        used = mallinfo2().uordblks - before;
+    }
+    state.counters["bytes_per_task"] = static_cast<double>(used) / tasks;
+}
+BENCHMARK(memory_of_queue)->ArgName("queued")->Arg(20'000)->Arg(200'000)->Iterations(3);
+
+} // namespace
+} // namespace filbertroad::scheduling
