Fuzz the doors of the stand-ins

Cause: a stand-in that misreads a damaged answer or setting would hide faults of the system under test.

Change: seeded tests mutate job answers, settings, payloads, arguments and requests to the log.

Conclusion: damaged input is refused or gives values in range.

--- /dev/null
+++ b/filbertroad/standin/fuzz_test.cpp
@@ -0,0 +1,103 @@
+#include "filbertroad/net/internal/mutation.hpp"
+#include "filbertroad/standin/control_body.hpp"
+#include "filbertroad/standin/ideal.hpp"
+#include "filbertroad/standin/job_answer.hpp"
+#include "filbertroad/standin/load_plan.hpp"
+#include "filbertroad/standin/log_service.hpp"
+#include "filbertroad/standin/task_payload.hpp"
+
+#include <array>
+#include <gtest/gtest.h>
+
+namespace filbertroad::standin
+{
+namespace
+{
+
+using net::internal::mutate;
+
+// Guards against a damaged answer that counts as complete.
+TEST(fuzz, mutated_job_answers_are_complete_only_with_every_own_result)
+{
+    std::mt19937_64 random(21);
+    std::string const good = R"({"state":"complete","tasks":[{"index":0,"outcome":"succeeded",)"
+                             R"("body":"done k 0"},{"index":1,"outcome":"succeeded",)"
+                             R"("body":"done k 1"}]})";
+    for (int i = 0; i < 50'000; ++i)
+    {
+        auto const body = mutate(good, random);
+        net::http_result const answer = net::http_response{.body = body};
+        if (judge_answer(answer, "k", 2) == answer_verdict::complete)
+        {
+            ASSERT_NE(body.find("done k 0"), std::string::npos) << body;
+            ASSERT_NE(body.find("done k 1"), std::string::npos) << body;
+        }
+    }
+}
+
+// Guards against settings out of range, such as a slowness that is not a number.
+TEST(fuzz, mutated_settings_are_refused_or_in_range)
+{
+    std::mt19937_64 random(22);
+    bool flag = false;
+    double number = 0;
+    std::uint32_t whole = 0;
+    std::array const fields{control_field{"outage", &flag}, control_field{"slow", &number},
+                            control_field{"late_answers_ms", &whole}};
+    std::string const good = R"({"outage":true,"slow":1.5e0,"late_answers_ms":7})";
+    std::size_t refused = 0;
+    for (int i = 0; i < 50'000; ++i)
+    {
+        refused += apply_control(mutate(good, random), fields) ? 1 : 0;
+        ASSERT_GE(number, 0);
+    }
+    EXPECT_GT(refused, 10'000U);
+}
+
+TEST(fuzz, mutated_payloads_and_arguments_give_bounded_values)
+{
+    std::mt19937_64 random(23);
+    for (int i = 0; i < 50'000; ++i)
+    {
+        auto const wish = parse_payload(mutate("order 7 run_ms=120 fail", random));
+        ASSERT_TRUE(!wish.run_time ||
+                    (wish.run_time->count() >= 0 && *wish.run_time <= max_run_time));
+        auto const targets = parse_ideal_targets(mutate("11x8", random), mutate("1,1,4", random));
+        ASSERT_TRUE(!targets || (!targets->empty() && targets->front().slots > 0));
+        auto const times = parse_run_times(mutate("50-1000", random));
+        ASSERT_TRUE(!times || times->shape != run_time_choice::kind::uniform ||
+                    times->first <= times->last);
+    }
+}
+
+// Guards against a log service that answers a malformed request twice or not at all.
+TEST(fuzz, log_service_answers_every_mutated_request_once)
+{
+    boost::asio::io_context io;
+    base::manual_clock const clock;
+    log_service service(io, clock, {});
+    auto const handler = service.handler();
+    std::mt19937_64 random(24);
+    for (int i = 0; i < 20'000; ++i)
+    {
+        int answers = 0;
+        handler({.method = i % 3 == 0 ? "POST" : "GET",
+                 .path = mutate("/v1/streams/control/records", random),
+                 .query = mutate("from=1&limit=10&wait_ms=0", random),
+                 .body = mutate("record", random)},
+                [&](net::http_response const&) { ++answers; });
+        if (answers == 0)
+        {
+            // A mutated wait_ms may ask for a wait; an outage ends it.
+            for (auto const* const body : {R"({"outage":true})", R"({"outage":false})"})
+            {
+                handler({.method = "POST", .path = "/control", .body = body},
+                        [](net::http_response const&) {});
+            }
+        }
+        ASSERT_EQ(answers, 1);
+    }
+}
+
+} // namespace
+} // namespace filbertroad::standin
