--- a/filbertroad/cli/command_line_test.cpp
+++ b/filbertroad/cli/command_line_test.cpp
@@ -151,6 +151,17 @@
     EXPECT_EQ(this->out.str(), complete_job + "\n");
 }
 
+// Guards against a script that acknowledges twice and stops at the second time.
+TEST_F(command_line_test, acknowledging_again_succeeds)
+{
+    this->answers.emplace_back(answer(200, R"({"key":"k","state":"failed"})"));
+    EXPECT_EQ(this->run_with({"job", "ack", "stock", "1790000000000-a"}), exit_ok);
+    this->answers.emplace_back(answer(410, R"({"error":{"code":"acknowledged"},"not_run":"no"})"));
+    EXPECT_EQ(this->run_with({"job", "ack", "stock", "1790000000000-a"}), exit_ok);
+    this->answers.emplace_back(answer(410, R"({"error":{"code":"key_expired"},"not_run":"no"})"));
+    EXPECT_EQ(this->run_with({"job", "ack", "stock", "1790000000000-a"}), exit_refused);
+}
+
 // Guards against a typing error that is taken for another command or sent to an entry.
 TEST_F(command_line_test, bad_command_lines_end_with_usage)
 {
--- a/filbertroad/cli/internal/answers.cpp
+++ b/filbertroad/cli/internal/answers.cpp
@@ -155,6 +155,13 @@
 
 int print_job(client_result const& result, job_view view, bool as_json, environment const& outside)
 {
+    bool const is_acknowledgement = view == job_view::acknowledgement;
+    if (is_acknowledgement && result && result.value().status == 410 &&
+        result.value().body.find(R"("code":"acknowledged")") != std::string::npos)
+    {
+        outside.out << (as_json ? result.value().body : "acknowledged before") << "\n";
+        return exit_ok;
+    }
     if (auto const fault = print_fault(result, as_json, outside))
     {
         return *fault;
@@ -178,7 +185,7 @@
         }
     }
     auto const state = text(job, "state");
-    if (state == "complete")
+    if (state == "complete" || is_acknowledgement || view == job_view::history)
     {
         return exit_ok;
     }
--- a/filbertroad/cli/internal/answers.hpp
+++ b/filbertroad/cli/internal/answers.hpp
@@ -18,7 +18,10 @@
 {
     summary,
     answers,
+    /// The exit code does not depend on the state of the job.
     history,
+    /// The job's answer is forgotten; a repeat of the command succeeds too.
+    acknowledgement,
 };
 
 /// Whether the answer is a job that has not ended.
--- a/filbertroad/cli/internal/job_commands.cpp
+++ b/filbertroad/cli/internal/job_commands.cpp
@@ -216,7 +216,7 @@
 
 int job_ack(invocation const& call)
 {
-    return on_job(call, "DELETE", "", job_view::summary, false);
+    return on_job(call, "DELETE", "", job_view::acknowledgement, false);
 }
 
 int job_explain(invocation const& call)
