Answer errors in UTF-8 whatever bytes the request holds

Cause: the detail and field of an error echo parts of path and query. With bytes that are not UTF-8 the answer was not JSON.

Change: to_utf8() puts U+FFFD in place of such bytes in errors; is_utf8() of the reports shares the code.

Conclusion: every refusal is valid JSON.

--- a/filbertroad/api/internal/api_error.cpp
+++ b/filbertroad/api/internal/api_error.cpp
@@ -1,5 +1,7 @@
 #include "filbertroad/api/internal/api_error.hpp"
 
+#include "filbertroad/api/internal/utf8.hpp"
+
 #include <algorithm>
 #include <array>
 #include <boost/json/object.hpp>
@@ -116,7 +118,8 @@
 net::http_response to_response(api_error const& error)
 {
     boost::json::object body;
-    body["error"] = {{"code", error.code}, {"detail", error.detail}, {"field", error.field}};
+    body["error"] = {
+        {"code", error.code}, {"detail", to_utf8(error.detail)}, {"field", to_utf8(error.field)}};
     body["not_run"] = to_string(error.ran);
     body["retry_after_ms"] = error.retry_after_ms;
     if (error.current_version)
--- a/filbertroad/api/internal/report_json.cpp
+++ b/filbertroad/api/internal/report_json.cpp
@@ -1,10 +1,11 @@
 #include "filbertroad/api/internal/report_json.hpp"
 
+#include "filbertroad/api/internal/utf8.hpp"
+
 #include <boost/json/array.hpp>
 #include <boost/json/monotonic_resource.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/locale/utf.hpp>
 #include <openssl/evp.h>
 #include <string_view>
 
@@ -52,22 +53,6 @@
     }
 }
 
-bool is_utf8(std::string const& text)
-{
-    using utf = boost::locale::utf::utf_traits<char>;
-    auto const* position = text.data();
-    auto const* const end = position + text.size();
-    while (position != end)
-    {
-        auto const point = utf::decode(position, end);
-        if (point == boost::locale::utf::illegal || point == boost::locale::utf::incomplete)
-        {
-            return false;
-        }
-    }
-    return true;
-}
-
 std::string to_base64(std::string const& bytes)
 {
     std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
--- /dev/null
+++ b/filbertroad/api/internal/utf8.hpp
@@ -0,0 +1,50 @@
+#ifndef FILBERTROAD_API_INTERNAL_UTF8_HPP
+#define FILBERTROAD_API_INTERNAL_UTF8_HPP
+
+/// JSON texts must be UTF-8, but paths, queries and answers of targets may hold any byte.
+
+#include <boost/locale/utf.hpp>
+#include <string>
+#include <string_view>
+
+namespace filbertroad::api::internal
+{
+
+/// Calls `take` with each code point of `text`, or with its single byte where it is not UTF-8.
+template <class Take>
+void for_each_point(std::string_view text, Take const& take)
+{
+    using utf = boost::locale::utf::utf_traits<char>;
+    auto const* position = text.data();
+    auto const* const end = position + text.size();
+    while (position != end)
+    {
+        auto const* const begin = position;
+        auto const point = utf::decode(position, end);
+        bool const valid =
+            point != boost::locale::utf::illegal && point != boost::locale::utf::incomplete;
+        position = valid ? position : begin + 1;
+        take(std::string_view(begin, static_cast<std::size_t>(position - begin)), valid);
+    }
+}
+
+[[nodiscard]] inline bool is_utf8(std::string_view text)
+{
+    bool all_valid = true;
+    for_each_point(text, [&](std::string_view, bool valid) { all_valid = all_valid && valid; });
+    return all_valid;
+}
+
+/// `text` with U+FFFD in place of each byte that is not UTF-8.
+[[nodiscard]] inline std::string to_utf8(std::string_view text)
+{
+    constexpr std::string_view replacement = "\xEF\xBF\xBD";
+    std::string out;
+    for_each_point(text,
+                   [&](std::string_view bytes, bool valid) { out += valid ? bytes : replacement; });
+    return out;
+}
+
+} // namespace filbertroad::api::internal
+
+#endif
