Add the agent process

Cause: the agent core needs links to the entries, a door for its target and an HTTP client to it.

The hello now names every open ledger entry, so that it can be sent before the receiver is known; a receiver ignores those that it did not send.

Conclusion: not yet tried with the entry process and the stand-ins.

--- a/filbertroad/execution/agent_core.cpp
+++ b/filbertroad/execution/agent_core.cpp
@@ -81,6 +81,11 @@
     }
 }
 
+wire::link_message agent_core::hello() const
+{
+    return this->content->make_hello();
+}
+
 void agent_core::target_announced(wire::target_description const& target, base::steady_time now)
 {
     if (this->content->gate.target_announced(target, now))
--- a/filbertroad/execution/agent_core.hpp
+++ b/filbertroad/execution/agent_core.hpp
@@ -92,9 +92,13 @@
     ~agent_core();
 
     /// A link to an entry is up. `link_number` grows with each link; starts from an older link of
-    /// the same entry are refused. Sends the hello with the open ledger entries of this entry.
+    /// the same entry are refused. Sends hello(), and then the answers that the entry is to get.
     void entry_linked(wire::member const& entry, std::uint64_t link_number, base::steady_time now);
     void entry_unlinked(model::process_id const& entry, std::uint64_t link_number);
+    /// The hello, for an entry that is not known yet. It names every open ledger entry: those that
+    /// the receiver did not send have no meaning to it, and it takes one that is missing as not
+    /// started.
+    [[nodiscard]] wire::link_message hello() const;
 
     /// The target announced itself. One that said it is leaving counts as back when it announces
     /// another address, or after a silence of announcement_timeout.
--- a/filbertroad/execution/agent_core_test.cpp
+++ b/filbertroad/execution/agent_core_test.cpp
@@ -152,7 +152,7 @@
     this->link("e1");
     auto const messages = this->messages_to("e1");
     ASSERT_TRUE(messages.at(0).has_agent_hello());
-    EXPECT_EQ(messages.at(0).agent_hello().open_size(), 2);
+    EXPECT_EQ(messages.at(0).agent_hello().open_size(), 3);
     ASSERT_TRUE(messages.at(1).has_finished());
     EXPECT_EQ(messages.at(1).finished().body(), "body");
 }
--- a/filbertroad/execution/agent_state.cpp
+++ b/filbertroad/execution/agent_state.cpp
@@ -43,22 +43,26 @@
     }
 }
 
-void agent_core::state::send_hello(model::process_id const& entry, entry_link& link)
+wire::link_message agent_core::state::make_hello() const
 {
     wire::link_message message;
     auto& hello = *message.mutable_agent_hello();
     *hello.mutable_id() = wire::to_wire(this->self);
     hello.set_zone(this->zone);
     *hello.mutable_target() = this->gate.target();
-    link.to_repeat.clear();
-    // The hello names every open entry, since the owner takes those that are missing as not
-    // started. Answers follow one by one: together they may be larger than a frame.
-    for (auto const& task : this->ledger.open_for(entry))
+    for (auto const& task : this->ledger.all_open())
     {
         *hello.add_open() = this->ledger.describe(task, false);
-        link.to_repeat.push_back(task);
     }
-    this->send(entry, std::move(message));
+    return message;
+}
+
+void agent_core::state::send_hello(model::process_id const& entry, entry_link& link)
+{
+    this->send(entry, this->make_hello());
+    // Answers follow one by one: together they may be larger than a frame.
+    auto const tasks = this->ledger.open_for(entry);
+    link.to_repeat.assign(tasks.begin(), tasks.end());
     this->repeat_answers(link);
 }
 
--- a/filbertroad/execution/internal/agent_state.hpp
+++ b/filbertroad/execution/internal/agent_state.hpp
@@ -33,6 +33,7 @@
 
     void send(model::process_id const& entry, wire::link_message message);
     void send_to_linked(wire::link_message const& message);
+    [[nodiscard]] wire::link_message make_hello() const;
     void send_hello(model::process_id const& entry, entry_link& link);
     void send_ping(model::process_id const& entry, entry_link& link, base::steady_time now);
     /// Sends the answer of a finished task to its recipient and its owner, if they are
--- a/filbertroad/execution/internal/ledger.cpp
+++ b/filbertroad/execution/internal/ledger.cpp
@@ -189,6 +189,17 @@
     this->records.erase(position);
 }
 
+std::vector<task_identity> ledger::all_open() const
+{
+    std::vector<task_identity> found;
+    found.reserve(this->open.size());
+    for (auto const* task : this->open)
+    {
+        found.push_back(*task);
+    }
+    return found;
+}
+
 std::vector<task_identity> ledger::open_for(model::process_id const& entry) const
 {
     std::vector<task_identity> found;
--- a/filbertroad/execution/internal/ledger.hpp
+++ b/filbertroad/execution/internal/ledger.hpp
@@ -88,7 +88,9 @@
     /// long, since no owner accepts their keys any more.
     void expire(base::steady_time now);
 
-    /// Open entries (running, or not acknowledged) that `entry` sent or whose answer it gets.
+    /// Entries that are running or not acknowledged.
+    [[nodiscard]] std::vector<task_identity> all_open() const;
+    /// Those that `entry` sent or whose answer it gets.
     [[nodiscard]] std::vector<task_identity> open_for(model::process_id const& entry) const;
     /// Entries of the removed members. Their answers go to `recipient` from now on.
     [[nodiscard]] std::vector<task_identity> take_over(std::span<model::process_id const> removed,
--- /dev/null
+++ b/filbertroad/server/agent_door.hpp
@@ -0,0 +1,53 @@
+#ifndef FILBERTROAD_SERVER_AGENT_DOOR_HPP
+#define FILBERTROAD_SERVER_AGENT_DOOR_HPP
+
+/// The requests that an agent answers over HTTP: `POST /v1/announce` and `POST /v1/leaving` of the
+/// target beside it, `GET /metrics`.
+///
+///     auto target = parse_announcement(body);
+///     if (!target) return bad_request(target.error().detail);
+
+#include "filbertroad/base/result.hpp"
+#include "filbertroad/net/http.hpp"
+#include "filbertroad/wire/link.pb.h"
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace filbertroad::server
+{
+
+enum class announcement_error
+{
+    syntax,
+    bad_field,
+};
+
+/// Most slots of one target, and most labels that it carries.
+inline constexpr std::uint32_t max_target_slots = 4096;
+inline constexpr std::size_t max_target_labels = 64;
+
+/// Reads `{"name":..., "service":..., "address":"IP:PORT", "slots":8, "labels":[...]}`. `labels`
+/// may be absent. The error names the field.
+[[nodiscard]] base::result<wire::target_description, base::error<announcement_error>>
+parse_announcement(std::string_view body);
+
+struct agent_door_events
+{
+    /// Returns false if another target is beside this agent already.
+    std::function<bool(wire::target_description const&)> announced;
+    std::function<void()> leaving;
+    /// Tasks that run on the target.
+    std::function<std::size_t()> running;
+    std::function<std::string()> metrics;
+};
+
+/// Answers one request.
+[[nodiscard]] net::http_response answer_agent_request(net::http_request const& request,
+                                                      agent_door_events const& events);
+
+} // namespace filbertroad::server
+
+#endif
--- /dev/null
+++ b/filbertroad/server/agent_links.cpp
@@ -0,0 +1,320 @@
+#include "filbertroad/server/agent_links.hpp"
+
+#include "filbertroad/wire/process_ids.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertroad::server
+{
+
+agent_links::agent_links(boost::asio::io_context& io, base::clock const& clock,
+                         execution::agent_core& core, std::vector<std::string> seeds,
+                         std::mt19937_64 random, agent_link_events events)
+    : io(io), clock(clock), core(core), seeds(std::move(seeds)), random(random),
+      events(std::move(events))
+{
+}
+
+void agent_links::tick()
+{
+    auto const now = this->clock.steady_now();
+    std::vector<std::pair<std::uint64_t, std::string>> faulty;
+    for (auto const& [number, connection] : this->connections)
+    {
+        if (auto reason = this->find_fault(connection, now); !reason.empty())
+        {
+            faulty.emplace_back(number, std::move(reason));
+        }
+    }
+    for (auto const& [number, reason] : faulty)
+    {
+        this->drop(number, reason);
+    }
+    if (this->stopped)
+    {
+        return;
+    }
+    if (this->linked() > 0)
+    {
+        this->call_members(now);
+    }
+    else if (this->connections.empty())
+    {
+        this->call_next_candidate(now);
+    }
+}
+
+std::string agent_links::find_fault(connection const& connection, base::steady_time now) const
+{
+    if (now - connection.heard > (connection.open ? silence_limit : connect_limit))
+    {
+        return connection.open ? "silent" : "no connection in time";
+    }
+    if (connection.member && !this->core.may_link(wire::to_model(connection.member->id())))
+    {
+        return "excluded by a fence or a promise";
+    }
+    return {};
+}
+
+std::vector<std::string> agent_links::candidates() const
+{
+    std::vector<std::string> found;
+    for (auto const& member : this->core.entries())
+    {
+        found.push_back(member.link_address());
+    }
+    for (auto const& address : this->seeds)
+    {
+        if (std::find(found.begin(), found.end(), address) == found.end())
+        {
+            found.push_back(address);
+        }
+    }
+    return found;
+}
+
+void agent_links::call_next_candidate(base::steady_time now)
+{
+    auto const addresses = this->candidates();
+    for (std::size_t tried = 0; tried < addresses.size(); ++tried)
+    {
+        auto const& address = addresses[this->next_candidate++ % addresses.size()];
+        if (this->may_call(address, now))
+        {
+            this->call(address, std::nullopt);
+            return;
+        }
+    }
+}
+
+void agent_links::call_members(base::steady_time now)
+{
+    auto const members = this->core.entries();
+    for (auto const& member : members)
+    {
+        auto const& address = member.link_address();
+        bool const called =
+            this->numbers.contains(wire::to_model(member.id())) ||
+            std::any_of(this->connections.begin(), this->connections.end(),
+                        [&](auto const& item) { return item.second.address == address; });
+        if (!called && this->may_call(address, now))
+        {
+            this->call(address, member);
+        }
+    }
+    auto const known = this->candidates();
+    std::erase_if(this->backoffs, [&](auto const& item)
+                  { return std::find(known.begin(), known.end(), item.first) == known.end(); });
+}
+
+bool agent_links::may_call(std::string const& address, base::steady_time now) const
+{
+    auto const found = this->backoffs.find(address);
+    return found == this->backoffs.end() || found->second.not_before <= now;
+}
+
+void agent_links::call(std::string const& address, std::optional<wire::member> member)
+{
+    auto const link = net::link::connect(
+        this->io, address,
+        {
+            .on_open = [this](link_ptr const& link) { this->opened(link->number()); },
+            .on_message = [this](link_ptr const& link, wire::link_message& message)
+            { this->received(link->number(), message); },
+            .on_closed = [this](link_ptr const& link, base::error<net::net_error> const& error)
+            { this->drop(link->number(), error.detail); },
+        });
+    auto& added = this->connections[link->number()];
+    added.link = link;
+    added.address = address;
+    added.member = std::move(member);
+    added.heard = this->clock.steady_now();
+    if (added.member)
+    {
+        this->numbers[wire::to_model(added.member->id())] = link->number();
+    }
+}
+
+void agent_links::opened(std::uint64_t number)
+{
+    auto const found = this->connections.find(number);
+    if (found == this->connections.end())
+    {
+        return;
+    }
+    auto& connection = found->second;
+    connection.open = true;
+    connection.heard = this->clock.steady_now();
+    if (connection.member)
+    {
+        this->core.entry_linked(*connection.member, number, connection.heard);
+        this->events.core_changed();
+    }
+    else
+    {
+        auto const hello = this->core.hello();
+        connection.hello_sent = true;
+        connection.hello_open = hello.agent_hello().open_size();
+        connection.link->send(hello);
+    }
+}
+
+void agent_links::received(std::uint64_t number, wire::link_message& message)
+{
+    auto const found = this->connections.find(number);
+    if (found == this->connections.end())
+    {
+        // A link that this agent has given up. What still arrives on it was not received.
+        return;
+    }
+    auto& connection = found->second;
+    connection.heard = this->clock.steady_now();
+    if (message.has_welcome())
+    {
+        this->identify(number, connection, message.welcome().entry());
+    }
+    else if (connection.identified)
+    {
+        this->dispatch(number, wire::to_model(connection.member->id()), message);
+    }
+    this->events.core_changed();
+}
+
+void agent_links::identify(std::uint64_t number, connection& connection, wire::member const& entry)
+{
+    auto const id = wire::to_model(entry.id());
+    bool const expected = connection.member && wire::to_model(connection.member->id()) == id;
+    if (!connection.member && this->core.hello().agent_hello().open_size() != connection.hello_open)
+    {
+        // The target refused a start that the hello named, and the refusal could not be sent. A new
+        // hello tells that the start is not open any more.
+        this->drop(number, "the ledger changed before the welcome");
+        return;
+    }
+    if (!expected && connection.member)
+    {
+        auto const other = wire::to_model(connection.member->id());
+        this->core.entry_unlinked(other, number);
+        this->numbers.erase(other);
+    }
+    connection.member = entry;
+    connection.identified = true;
+    if (!expected)
+    {
+        auto const older = this->numbers.find(id);
+        if (older != this->numbers.end() && older->second != number)
+        {
+            this->drop(older->second, "replaced by a newer link");
+        }
+        this->numbers[id] = number;
+        this->core.entry_linked(entry, number, connection.heard);
+    }
+    this->backoffs.erase(connection.address);
+    this->events.linked(id, connection.address);
+}
+
+void agent_links::dispatch(std::uint64_t number, model::process_id const& entry,
+                           wire::link_message& message)
+{
+    // The wall clock is read first; see agent_core::start_received.
+    auto const wall = this->clock.system_now();
+    auto const now = this->clock.steady_now();
+    switch (message.body_case())
+    {
+    case wire::link_message::kPong:
+        this->core.pong_received(entry, message.pong(), now);
+        break;
+    case wire::link_message::kState:
+        this->core.state_received(message.state(), now);
+        break;
+    case wire::link_message::kStart:
+        this->core.start_received(entry, number, message.start(), now, wall);
+        break;
+    case wire::link_message::kCancel:
+        this->core.cancel_received(message.cancel());
+        break;
+    case wire::link_message::kFinishedAck:
+        this->core.finished_ack_received(entry, message.finished_ack(), now);
+        break;
+    case wire::link_message::kFence:
+        this->core.fence_received(entry, message.fence(), now);
+        break;
+    case wire::link_message::kPromiseRequest:
+        this->core.promise_requested(entry, message.promise_request(), now);
+        break;
+    default:
+        break;
+    }
+}
+
+void agent_links::send(model::process_id const& entry, wire::link_message const& message)
+{
+    auto const number = this->numbers.find(entry);
+    if (number == this->numbers.end())
+    {
+        return;
+    }
+    auto& connection = this->connections.at(number->second);
+    if (message.has_agent_hello() && std::exchange(connection.hello_sent, true))
+    {
+        return;
+    }
+    connection.link->send(message);
+}
+
+void agent_links::drop(std::uint64_t number, std::string const& reason)
+{
+    auto const found = this->connections.find(number);
+    if (found == this->connections.end())
+    {
+        return;
+    }
+    auto const connection = std::move(found->second);
+    this->connections.erase(found);
+    if (connection.member)
+    {
+        auto const id = wire::to_model(connection.member->id());
+        auto const current = this->numbers.find(id);
+        if (current != this->numbers.end() && current->second == number)
+        {
+            this->numbers.erase(current);
+        }
+        this->core.entry_unlinked(id, number);
+    }
+    connection.link->close();
+    if (connection.open || !this->backoffs.contains(connection.address))
+    {
+        this->events.lost(connection.address, reason);
+    }
+    this->back_off(connection.address);
+}
+
+void agent_links::back_off(std::string const& address)
+{
+    auto& state = this->backoffs[address];
+    state.delay = std::clamp(state.delay * 2, first_backoff, last_backoff);
+    // Jitter keeps agents that lost an entry at the same time from coming back at the same time.
+    std::uniform_int_distribution<std::int64_t> jitter(state.delay.count() / 2,
+                                                       state.delay.count() * 3 / 2);
+    state.not_before = this->clock.steady_now() + std::chrono::milliseconds(jitter(this->random));
+}
+
+void agent_links::stop()
+{
+    this->stopped = true;
+    while (!this->connections.empty())
+    {
+        this->drop(this->connections.begin()->first, "planned stop");
+    }
+}
+
+std::size_t agent_links::linked() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->connections.begin(), this->connections.end(),
+                      [](auto const& item) { return item.second.identified; }));
+}
+
+} // namespace filbertroad::server
