Notice a sudden change of a target's speed

Cause: with a weight of 1/256 for each run time, a target that became eight times slower was still taken for 1.6 times as slow as the others after 80 tasks. Change: when the mean of about 32 recent run times differs by a factor of 2.5, the older ones are forgotten.

--- a/filbertroad/scheduling/internal/target_learning.cpp
+++ b/filbertroad/scheduling/internal/target_learning.cpp
@@ -11,6 +11,11 @@
 /// Run times of one route differ by a factor of 20 and more, so that fewer samples than this give
 /// an unsteady order of targets.
 constexpr double max_speed_samples = 256;
+/// A target whose last run times differ this much (a factor of 2.5) has changed its speed: the
+/// older ones no longer count. That is seven standard deviations of the recent mean when run times
+/// are spread over a factor of twenty; at four, chance alone made targets look slow.
+constexpr double recent_speed_samples = 32;
+constexpr double sudden_change = 0.9;
 /// Weight of the assumption that a target is as fast as the others, in samples.
 constexpr double prior_samples = 2;
 constexpr double max_route_samples = 512;
@@ -52,7 +57,15 @@
     {
         learn(known.log_run_time, known.samples, max_route_samples, log_time - target.log_slowness);
     }
-    learn(target.log_slowness, target.samples, max_speed_samples, log_time - known.log_run_time);
+    auto const sample = log_time - known.log_run_time;
+    learn(target.log_slowness, target.samples, max_speed_samples, sample);
+    learn(target.recent_log_slowness, target.recent_samples, recent_speed_samples, sample);
+    if (target.recent_samples >= recent_speed_samples &&
+        std::abs(target.recent_log_slowness - target.log_slowness) > sudden_change)
+    {
+        target.log_slowness = target.recent_log_slowness;
+        target.samples = target.recent_samples;
+    }
     this->all_routes.add(seconds / target.slowness);
     if (--this->until_update == 0)
     {
--- a/filbertroad/scheduling/internal/target_pool.hpp
+++ b/filbertroad/scheduling/internal/target_pool.hpp
@@ -63,6 +63,9 @@
     /// Mean of the logarithm of run time relative to that of its route.
     double log_slowness = 0;
     std::uint32_t samples = 0;
+    /// The same over the last few run times.
+    double recent_log_slowness = 0;
+    std::uint32_t recent_samples = 0;
     /// Run time relative to the mean target.
     double slowness = 1;
     /// Inverse of slowness.
--- a/filbertroad/scheduling/scheduler_test.cpp
+++ b/filbertroad/scheduling/scheduler_test.cpp
@@ -294,6 +294,30 @@
     EXPECT_EQ(this->view("b").health, "in_service");
 }
 
+TEST_F(health, target_that_becomes_slow_loses_its_place_within_a_few_tasks)
+{
+    this->add_target("a", 8);
+    this->add_target("b", 8);
+    this->now += 3s;
+    for (std::uint64_t job = 1; job <= 70; ++job)
+    {
+        // 60 rounds of tasks on all slots, then ten in which target a is eight times slower.
+        ASSERT_TRUE(this->admit(job, 16).has_value());
+        for (auto const& one : this->dispatch())
+        {
+            bool const slow = one.target == "a" && job > 60;
+            this->queue.task_finished(one.task, finish::succeeded, slow ? 800ms : 100ms, this->now);
+        }
+        if (job == 60)
+        {
+            EXPECT_NEAR(this->view("a").slowness, 1, 0.1);
+        }
+    }
+    EXPECT_GT(this->view("a").slowness / this->view("b").slowness, 2);
+    ASSERT_TRUE(this->admit(71, 1).has_value());
+    EXPECT_EQ(this->dispatch().at(0).target, "b");
+}
+
 TEST_F(admission, full_queue_refuses_with_a_reason_and_a_time)
 {
     this->queue = scheduler::builder().seed(1).max_queued_tasks(10).build();
