Estimate the wait by the order of jobs and bound the tables of names

Cause: a small job was refused for a deadline that it would meet, because tasks of large jobs that it overtakes counted; a team at its quota was accepted too late; names of unknown teams, old routes and old placement rules stayed in memory. Change: the wait counts the tasks that go first in the lane, the share by weight and the quota; unknown teams leave no record, unused placement rules are replaced, 1,024 routes are remembered.

--- a/filbertroad/scheduling/internal/admission.cpp
+++ b/filbertroad/scheduling/internal/admission.cpp
@@ -41,16 +41,16 @@
             limits.max_queued_bytes / 2 * weight / all_weights};
 }
 
+admission_error refuse_unknown_team(std::string const& team, double jitter)
+{
+    return {admission_code::team_over_quota, "team " + team + " has no quota",
+            retry_after({.own = {}, .unused_of_others = {}, .team = {}, .jitter = jitter}, 0)};
+}
+
 std::optional<admission_error> check_admission(admission_request const& request,
                                                admission_limits const& limits)
 {
     auto const tasks = static_cast<double>(request.tasks);
-    if (!request.team_known)
-    {
-        return admission_error{admission_code::team_over_quota,
-                               "team " + request.team + " has no quota",
-                               retry_after(request, tasks)};
-    }
     bool const no_room =
         !fits(request.tasks, request.queued_tasks, limits.max_queued_tasks, request.team_queued,
               request.own.tasks, request.unused_of_others.tasks) ||
--- a/filbertroad/scheduling/internal/admission.hpp
+++ b/filbertroad/scheduling/internal/admission.hpp
@@ -51,7 +51,6 @@
     queue_reserve own;
     queue_reserve unused_of_others;
     std::string team;
-    bool team_known = false;
     std::uint32_t team_queued = 0;
     std::size_t team_queued_bytes = 0;
     std::uint32_t team_max_queued = 0;
@@ -63,6 +62,9 @@
     double jitter = 0;
 };
 
+/// The refusal of a job whose team has no quota. `jitter` is in [0, 1).
+[[nodiscard]] admission_error refuse_unknown_team(std::string const& team, double jitter);
+
 /// The reason to refuse the job, or nothing.
 [[nodiscard]] std::optional<admission_error> check_admission(admission_request const& request,
                                                              admission_limits const& limits);
--- a/filbertroad/scheduling/internal/job_store.cpp
+++ b/filbertroad/scheduling/internal/job_store.cpp
@@ -5,12 +5,19 @@
 
 namespace filbertroad::scheduling::internal
 {
+namespace
+{
+
+/// Jobs that an estimate of the wait counts one by one.
+constexpr std::uint32_t max_jobs_counted = 64;
+
+} // namespace
 
 job_store::~job_store()
 {
     this->arrivals.clear();
     this->deadlines.clear();
-    for (auto& lane : this->lanes)
+    for (auto& [key, lane] : this->lanes)
     {
         lane->jobs.clear();
     }
@@ -18,28 +25,62 @@
 
 lane& job_store::lane_of(team_record& team, std::uint32_t placement)
 {
-    auto const found = std::find_if(
-        this->lanes.begin(), this->lanes.end(),
-        [&](auto const& lane) { return lane->team == &team && lane->placement == placement; });
-    if (found != this->lanes.end())
+    auto& found = this->lanes[{&team, placement}];
+    if (!found)
     {
-        return **found;
+        found = std::make_unique<lane>();
+        found->team = &team;
+        found->placement = placement;
     }
-    auto& created = *this->lanes.emplace_back(std::make_unique<lane>());
-    created.team = &team;
-    created.placement = placement;
-    return created;
+    return *found;
 }
 
-job_record& job_store::record(std::uint64_t job)
+job_record& job_store::record(std::uint64_t job, lane& in_lane)
 {
-    auto& slot = this->jobs[job];
-    if (!slot)
+    auto& found = this->jobs[job];
+    if (!found)
+    {
+        found = std::make_unique<job_record>();
+        found->job = job;
+    }
+    else
     {
-        slot = std::make_unique<job_record>();
-        slot->job = job;
+        --found->in_lane->records;
     }
-    return *slot;
+    found->in_lane = &in_lane;
+    ++in_lane.records;
+    return *found;
+}
+
+bool job_store::uses(std::uint32_t placement) const
+{
+    return std::any_of(this->lanes.begin(), this->lanes.end(),
+                       [&](auto const& entry) {
+                           return entry.second->placement == placement && entry.second->records > 0;
+                       });
+}
+
+double job_store::tasks_before(lane const& lane, base::steady_time order_key)
+{
+    double tasks = 0;
+    std::uint32_t seen = 0;
+    for (auto const& job : lane.jobs)
+    {
+        if (job.order_key > order_key)
+        {
+            return tasks;
+        }
+        tasks += static_cast<double>(job.tasks.size());
+        if (++seen == max_jobs_counted)
+        {
+            // The rest of the lane is taken to be as dense as the part that was counted.
+            using seconds = std::chrono::duration<double>;
+            auto const first = lane.jobs.begin()->order_key;
+            auto const counted = std::max<seconds>(job.order_key - first, ageing_per_task);
+            return std::min<double>(lane.queued, tasks * (seconds(order_key - first) / counted));
+        }
+    }
+    return tasks;
 }
 
 job_record* job_store::find(std::uint64_t job)
@@ -122,6 +163,7 @@
 {
     if (job.tasks.empty() && job.running == 0)
     {
+        --job.in_lane->records;
         this->jobs.erase(job.job);
     }
 }
--- a/filbertroad/scheduling/internal/job_store.hpp
+++ b/filbertroad/scheduling/internal/job_store.hpp
@@ -14,6 +14,7 @@
 #include "filbertroad/base/clock.hpp"
 #include "filbertroad/scheduling/scheduler.hpp"
 
+#include <boost/container_hash/hash.hpp>
 #include <boost/intrusive/set.hpp>
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cstddef>
@@ -22,6 +23,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace filbertroad::scheduling::internal
@@ -111,6 +113,8 @@
     std::uint32_t placement = 0;
     job_set<order_tag, by_order> jobs;
     std::uint32_t queued = 0;
+    /// Jobs with queued or running tasks.
+    std::uint32_t records = 0;
     /// Number of the last dispatch in which no job of the lane gained from a free slot.
     std::uint64_t waits_in = 0;
     /// Position in the list of lanes with queued jobs, or no_index.
@@ -122,8 +126,13 @@
 public:
     /// The lane of a team and a placement, created when it is new. Its address is stable.
     [[nodiscard]] lane& lane_of(team_record& team, std::uint32_t placement);
-    /// The record of a job, created when it is new.
-    [[nodiscard]] job_record& record(std::uint64_t job);
+    /// The record of a job, created when it is new, in a lane. Precondition: no task of it is
+    /// queued.
+    [[nodiscard]] job_record& record(std::uint64_t job, lane& in_lane);
+    /// Whether a job with queued or running tasks has the placement.
+    [[nodiscard]] bool uses(std::uint32_t placement) const;
+    /// Estimate of the queued tasks of a lane that start before a job with this order key.
+    [[nodiscard]] static double tasks_before(lane const& lane, base::steady_time order_key);
     [[nodiscard]] job_record* find(std::uint64_t job);
     /// Puts the tasks of a job without queued tasks into its lane. Precondition: at least one task.
     void enqueue(job_record& job, std::span<std::uint32_t const> tasks);
@@ -149,7 +158,8 @@
     void link(job_record& job);
     void unlink(job_record& job);
 
-    std::vector<std::unique_ptr<lane>> lanes;
+    boost::unordered_flat_map<std::pair<team_record const*, std::uint32_t>, std::unique_ptr<lane>>
+        lanes;
     std::vector<lane*> active;
     job_set<arrival_tag, by_arrival> arrivals;
     job_set<deadline_tag, by_deadline> deadlines;
--- a/filbertroad/scheduling/internal/scheduler_state.hpp
+++ b/filbertroad/scheduling/internal/scheduler_state.hpp
@@ -49,11 +49,19 @@
     {
     }
 
+    [[nodiscard]] internal::team_record* find_team(std::string_view name);
     /// Record of a team, created when it is new; its address is stable.
     internal::team_record& team(std::string_view name);
     /// Fills in which parts of the queue are kept for `team` and for the other teams.
     void add_reserves(internal::team_record const& team,
                       internal::admission_request& request) const;
+    /// Number of a placement rule; a new rule may replace one that no job uses.
+    [[nodiscard]] std::uint32_t placement(placement_rule const& rule);
+    /// What the admission has to know about a job that would join a lane.
+    [[nodiscard]] internal::admission_request
+    make_request(job_entry const& job, internal::lane const& lane, base::steady_time now);
+    /// Tasks per second that a lane can expect to start: its share by weight, within its quota.
+    [[nodiscard]] double tasks_per_second(internal::lane const& lane) const;
     /// Takes a running task off its target, team and job; nothing when it is unknown.
     std::optional<running_task> stop(task_id const& task);
     /// The lane that starts the next task, among lanes whose team is within its quota and whose
--- a/filbertroad/scheduling/internal/target_pool.cpp
+++ b/filbertroad/scheduling/internal/target_pool.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+/// Routes whose run times are remembered.
+constexpr std::uint32_t max_routes = 1024;
 constexpr std::chrono::seconds utilisation_window{30};
 /// Targets whose slowness differs by less count as equally fast.
 constexpr double similar_speed = 1.25;
@@ -102,17 +104,25 @@
     return number;
 }
 
-std::uint32_t target_pool::placement(placement_rule const& rule)
+std::optional<std::uint32_t> target_pool::find_placement(placement_rule const& rule) const
 {
     auto const found = std::find_if(this->placements.begin(), this->placements.end(),
                                     [&](auto const& known) { return known.rule == rule; });
-    if (found != this->placements.end())
+    if (found == this->placements.end())
     {
-        return static_cast<std::uint32_t>(found - this->placements.begin());
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(found - this->placements.begin());
+}
+
+void target_pool::set_placement(std::uint32_t number, placement_rule const& rule)
+{
+    if (number == this->placements.size())
+    {
+        this->placements.emplace_back();
     }
-    this->placements.push_back({rule, {}, this->last_change});
+    this->placements[number] = {rule, {}, this->last_change};
     this->rebuild(this->last_change);
-    return static_cast<std::uint32_t>(this->placements.size() - 1);
 }
 
 bool target_pool::is_placeable(std::uint32_t placement) const
@@ -138,6 +148,13 @@
     {
         return static_cast<std::uint32_t>(found - this->routes.begin());
     }
+    if (this->routes.size() == max_routes)
+    {
+        // A job that still names the replaced route learns for the new one; that only adds noise.
+        this->next_route = (this->next_route + 1) % max_routes;
+        this->routes[this->next_route] = {std::string(name)};
+        return this->next_route;
+    }
     this->routes.push_back({std::string(name)});
     return static_cast<std::uint32_t>(this->routes.size() - 1);
 }
--- a/filbertroad/scheduling/internal/target_pool.hpp
+++ b/filbertroad/scheduling/internal/target_pool.hpp
@@ -103,8 +103,9 @@
     /// The same; adds a closed target of unknown size when there is none.
     std::uint32_t find_or_add_closed(std::string_view name);
 
-    /// Number of a placement rule, or a new one.
-    std::uint32_t placement(placement_rule const& rule);
+    [[nodiscard]] std::optional<std::uint32_t> find_placement(placement_rule const& rule) const;
+    /// Gives a number to a rule: that of one that is no longer needed, or the next one.
+    void set_placement(std::uint32_t number, placement_rule const& rule);
     /// Whether a registered target meets the rule, and if not, since when.
     [[nodiscard]] bool is_placeable(std::uint32_t placement) const;
     [[nodiscard]] base::steady_time unplaceable_since(std::uint32_t placement) const;
@@ -178,6 +179,7 @@
     std::vector<target_record> targets;
     std::vector<placement_class> placements;
     std::vector<route_record> routes;
+    std::uint32_t next_route = 0;
     run_time_profile all_routes;
     double mean_log_slowness = 0;
     std::uint32_t until_update = 1;
--- a/filbertroad/scheduling/scheduler.cpp
+++ b/filbertroad/scheduling/scheduler.cpp
@@ -3,7 +3,6 @@
 #include "filbertroad/scheduling/internal/scheduler_state.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace filbertroad::scheduling
 {
@@ -65,50 +64,6 @@
     }
 }
 
-base::result<void, admission_error> scheduler::admit(job_entry const& job, base::steady_time now)
-{
-    auto& state = *this->content;
-    state.advance(now);
-    auto const* const known = state.jobs.find(job.job);
-    if (job.tasks.empty() || (known != nullptr && !known->tasks.empty()))
-    {
-        return base::success();
-    }
-    auto& team = state.team(job.team);
-    auto const placement = state.targets.placement(job.placement);
-    auto const tasks = static_cast<std::uint32_t>(job.tasks.size());
-    internal::admission_request request{
-        .tasks = tasks,
-        .bytes = job.bytes,
-        .deadline = job.deadline,
-        .queued_tasks = state.jobs.queued_tasks(),
-        .queued_bytes = state.jobs.queued_bytes(),
-        .own = {},
-        .unused_of_others = {},
-        .team = job.team,
-        .team_known = team.configured,
-        .team_queued = team.queued,
-        .team_queued_bytes = team.queued_bytes,
-        .team_max_queued = team.max_queued,
-        .tasks_ahead = static_cast<double>(state.jobs.queued_tasks()) + tasks,
-        .tasks_per_second = state.targets.tasks_per_second(placement),
-        .jitter = state.targets.jitter(),
-    };
-    state.add_reserves(team, request);
-    if (auto refusal = internal::check_admission(request, state.limits))
-    {
-        return *std::move(refusal);
-    }
-    auto& record = state.jobs.record(job.job);
-    record.in_lane = &state.jobs.lane_of(team, placement);
-    record.arrival = now;
-    record.bytes = job.bytes;
-    record.route = state.targets.route(job.route);
-    record.start_before = job.deadline.count() > 0 ? now + job.deadline : base::steady_time::max();
-    state.jobs.enqueue(record, job.tasks);
-    return base::success();
-}
-
 std::vector<std::uint32_t> scheduler::cancel_job(std::uint64_t job)
 {
     auto* const record = this->content->jobs.find(job);
@@ -217,53 +172,6 @@
     return this->content->targets.views();
 }
 
-internal::team_record& scheduler::state::team(std::string_view name)
-{
-    auto const found = std::find_if(this->teams.begin(), this->teams.end(),
-                                    [&](auto const& team) { return team->name == name; });
-    if (found != this->teams.end())
-    {
-        return **found;
-    }
-    auto& created = *this->teams.emplace_back(std::make_unique<internal::team_record>());
-    created.name = name;
-    created.configured = !this->teams_configured;
-    created.max_running = std::numeric_limits<std::uint32_t>::max();
-    created.max_queued = std::numeric_limits<std::uint32_t>::max();
-    return created;
-}
-
-void scheduler::state::add_reserves(internal::team_record const& team,
-                                    internal::admission_request& request) const
-{
-    if (!this->teams_configured)
-    {
-        return;
-    }
-    std::uint64_t weights = 0;
-    for (auto const& other : this->teams)
-    {
-        weights += other->configured ? other->weight : 0;
-    }
-    for (auto const& other : this->teams)
-    {
-        if (!other->configured)
-        {
-            continue;
-        }
-        auto const reserve = internal::reserve_of(other->weight, weights, this->limits);
-        if (other.get() == &team)
-        {
-            request.own = reserve;
-            continue;
-        }
-        request.unused_of_others.tasks +=
-            reserve.tasks - std::min<std::uint64_t>(reserve.tasks, other->queued);
-        request.unused_of_others.bytes +=
-            reserve.bytes - std::min<std::uint64_t>(reserve.bytes, other->queued_bytes);
-    }
-}
-
 internal::lane* scheduler::state::next_lane() const
 {
     internal::lane* best = nullptr;
--- a/filbertroad/scheduling/scheduler_test.cpp
+++ b/filbertroad/scheduling/scheduler_test.cpp
@@ -363,6 +363,46 @@
     EXPECT_EQ(refused.error().code, admission_code::deadline_unreachable);
 }
 
+TEST_F(admission, small_job_with_a_deadline_passes_a_backlog_of_large_ones)
+{
+    this->add_target("a", 8);
+    this->now += 3s;
+    for (std::uint64_t job = 1; job <= 50; ++job)
+    {
+        ASSERT_TRUE(this->admit(job, 270).has_value());
+    }
+    EXPECT_TRUE(this->admit(51, 1, "depot", {}, 1000ms).has_value());
+    EXPECT_FALSE(this->admit(52, 270, "depot", {}, 1000ms).has_value());
+}
+
+TEST_F(admission, wait_of_a_team_at_its_quota_counts_the_quota)
+{
+    std::vector<team_limits> const teams{{"depot", 1, 1, 1000}};
+    this->queue.set_teams(teams);
+    this->add_target("a", 8);
+    this->now += 3s;
+    EXPECT_FALSE(this->admit(1, 40, "depot", {}, 2000ms).has_value());
+    EXPECT_TRUE(this->admit(2, 40, "depot", {}, 60'000ms).has_value());
+}
+
+TEST_F(admission, changing_placement_rules_keep_their_jobs_apart)
+{
+    this->add_target("a", 8, "khi-b");
+    ASSERT_TRUE(this->admit(1, 2, "depot", {.zones = {"lhr-a"}, .labels = {}}).has_value());
+    this->now += 3s;
+    for (std::uint64_t job = 2; job < 300; ++job)
+    {
+        placement_rule const rule{{"khi-b", "zone-" + std::to_string(job)}, {}};
+        ASSERT_TRUE(this->admit(job, 1, "depot", rule).has_value());
+        auto const started = this->dispatch();
+        ASSERT_EQ(started.size(), 1U);
+        ASSERT_EQ(started[0].task.job, job);
+        this->finish_all(started, finish::succeeded, 10ms);
+    }
+    this->now += 5s;
+    EXPECT_EQ(this->expire().size(), 2U);
+}
+
 TEST_F(expiry, job_that_no_target_can_run_ends_with_its_reason)
 {
     this->add_target("a", 1, "khi-b");
