Let a target return that was restarted within three seconds

Cause: a target that said it is leaving counted as back only after 3 s of silence or with another address, so that one restarted at once stayed closed for ever. The gate also searched the lists of all zones and targets for each start.

Change: an announcement more than 500 ms after the word counts as back; one with "leaving":true does not, for targets that announce themselves while they finish. Zone and target states are looked up when the state changes.

Conclusion: targets that announce themselves while leaving must add the field.

--- a/filbertroad/execution/agent_core.cpp
+++ b/filbertroad/execution/agent_core.cpp
@@ -94,9 +94,9 @@
     }
 }
 
-void agent_core::target_leaving(base::steady_time /*now*/)
+void agent_core::target_leaving(base::steady_time now)
 {
-    if (this->content->gate.target_leaving())
+    if (this->content->gate.target_leaving(now))
     {
         this->content->send_target();
     }
--- a/filbertroad/execution/agent_core.hpp
+++ b/filbertroad/execution/agent_core.hpp
@@ -100,8 +100,8 @@
     /// started.
     [[nodiscard]] wire::link_message hello() const;
 
-    /// The target announced itself. One that said it is leaving counts as back when it announces
-    /// another address, or after a silence of announcement_timeout.
+    /// The target announced itself: it takes work, unless `target.leaving` is set. One that said
+    /// that it is leaving is back when it announces itself more than 500 ms later.
     void target_announced(wire::target_description const& target, base::steady_time now);
     void target_leaving(base::steady_time now);
     /// A planned stop of the agent: the gate closes, running tasks finish.
--- a/filbertroad/execution/agent_core_test.cpp
+++ b/filbertroad/execution/agent_core_test.cpp
@@ -23,11 +23,7 @@
 protected:
     agent_core_test() : core({"g1", 1}, "khi-b", options())
     {
-        wire::target_description target;
-        target.set_name("t1");
-        target.set_service("kitrefill");
-        target.set_slots(8);
-        this->core.target_announced(target, this->clock.steady_now());
+        this->announce(false);
         this->tell_state(1, {"e1", "e2", "e3"});
         for (auto const* name : {"e1", "e2", "e3"})
         {
@@ -43,6 +39,16 @@
         return options;
     }
 
+    void announce(bool leaving)
+    {
+        wire::target_description target;
+        target.set_name("t1");
+        target.set_service("kitrefill");
+        target.set_slots(8);
+        target.set_leaving(leaving);
+        this->core.target_announced(target, this->clock.steady_now());
+    }
+
     void tell_state(std::uint64_t offset, std::vector<std::string> const& members)
     {
         wire::agent_state state;
@@ -258,6 +264,20 @@
     ASSERT_EQ(messages.size(), 2U);
     EXPECT_TRUE(messages.at(0).target().leaving());
     EXPECT_EQ(messages.at(1).refused().reason(), wire::refusal_target_leaving);
+    this->announce(false);
+    EXPECT_FALSE(this->core.is_open(this->clock.steady_now())) << "sent before it was leaving";
+    this->pass(milliseconds(1000));
+    this->announce(true);
+    EXPECT_FALSE(this->core.is_open(this->clock.steady_now()));
+}
+
+// Guards against a target that gets no work any more after a quick restart.
+TEST_F(agent_core_test, a_target_that_announces_itself_after_leaving_is_back)
+{
+    this->core.target_leaving(this->clock.steady_now());
+    this->pass(milliseconds(600));
+    this->announce(false);
+    EXPECT_TRUE(this->core.is_open(this->clock.steady_now()));
 }
 
 } // namespace
--- a/filbertroad/execution/internal/start_gate.cpp
+++ b/filbertroad/execution/internal/start_gate.cpp
@@ -13,6 +13,10 @@
 /// removed member that is forgotten is still refused, because it is not in the newest view.
 constexpr std::size_t max_fenced_names = 4096;
 
+/// An announcement and the word that the target is leaving come on two connections. One that
+/// arrives within this time may have been sent before.
+constexpr std::chrono::milliseconds crossing_time{500};
+
 template <class States>
 bool is_in_service(States const& states, std::string const& name)
 {
@@ -37,6 +41,15 @@
     this->newest = state;
     this->has_state = true;
     this->newest_view = std::max<std::uint64_t>(this->newest_view, state.view());
+    this->zone_in_service = is_in_service(state.zones(), this->zone);
+    this->targets_out.clear();
+    for (auto const& target : state.targets())
+    {
+        if (!target.in_service())
+        {
+            this->targets_out.insert(target.name());
+        }
+    }
     std::erase_if(this->promised, [&](auto const& item)
                   { return state.view() > item.second && this->is_member(item.first); });
     for (auto const& [entry, given] : this->confirmations)
@@ -84,9 +97,11 @@
 bool start_gate::target_announced(wire::target_description const& target, base::steady_time now)
 {
     auto const before = this->target().SerializeAsString();
-    bool const was_silent =
-        !this->description || now - this->announced_at >= this->options.announcement_timeout;
-    if (was_silent || this->description->address() != target.address())
+    if (target.leaving())
+    {
+        this->target_leaving(now);
+    }
+    else if (this->leaving && now - this->left_at >= crossing_time)
     {
         this->leaving = false;
     }
@@ -96,8 +111,9 @@
     return this->target().SerializeAsString() != before;
 }
 
-bool start_gate::target_leaving()
+bool start_gate::target_leaving(base::steady_time now)
 {
+    this->left_at = now;
     return !std::exchange(this->leaving, true);
 }
 
@@ -187,7 +203,7 @@
     {
         return wire::refusal_not_confirmed;
     }
-    if (!is_in_service(this->newest.zones(), this->zone))
+    if (!this->zone_in_service)
     {
         return wire::refusal_zone_out;
     }
@@ -204,7 +220,7 @@
     {
         return wire::refusal_target_unreachable;
     }
-    if (!is_in_service(this->newest.targets(), this->description->name()))
+    if (this->targets_out.contains(this->description->name()))
     {
         return wire::refusal_target_out;
     }
--- a/filbertroad/execution/internal/start_gate.hpp
+++ b/filbertroad/execution/internal/start_gate.hpp
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,7 +36,7 @@
                        base::steady_time now);
     /// Returns true if the description that entries see changed.
     bool target_announced(wire::target_description const& target, base::steady_time now);
-    bool target_leaving();
+    bool target_leaving(base::steady_time now);
     bool start_draining();
     /// Returns true if the target has just become silent.
     bool target_silent(base::steady_time now);
@@ -75,6 +76,8 @@
     agent_options options;
     wire::agent_state newest;
     bool has_state = false;
+    bool zone_in_service = true;
+    std::set<std::string> targets_out;
     std::uint64_t newest_view = 0;
     std::map<model::process_id, entry_confirmation> confirmations;
     std::optional<base::steady_time> confirmed_as_of;
@@ -90,6 +93,7 @@
     base::steady_time announced_at;
     bool reachable = false;
     bool leaving = false;
+    base::steady_time left_at;
     bool draining = false;
 };
 
--- a/filbertroad/server/agent_door.cpp
+++ b/filbertroad/server/agent_door.cpp
@@ -103,6 +103,8 @@
     target.set_name(read_text(object, "name"));
     target.set_service(read_text(object, "service"));
     target.set_address(read_text(object, "address"));
+    auto const* const leaving = object.if_contains("leaving");
+    target.set_leaving(leaving != nullptr && leaving->is_bool() && leaving->as_bool());
     if (!model::is_valid_name(target.name()))
     {
         return make_fault("name", expected_name);
--- a/filbertroad/server/agent_door.hpp
+++ b/filbertroad/server/agent_door.hpp
@@ -30,7 +30,8 @@
 inline constexpr std::size_t max_target_labels = 64;
 
 /// Reads `{"name":..., "service":..., "address":"IP:PORT", "slots":8, "labels":[...]}`. `labels`
-/// may be absent. The error names the field.
+/// may be absent. A target announces itself at least once a second while it takes work; after
+/// `POST /v1/leaving` it is silent, or adds `"leaving":true`. The error names the field.
 [[nodiscard]] base::result<wire::target_description, base::error<announcement_error>>
 parse_announcement(std::string_view body);
 
