--- a/filbertroad/submission/handover.cpp
+++ b/filbertroad/submission/handover.cpp
@@ -112,6 +112,7 @@
     added.content->repeatable = request.repeatable();
     this->note(added, internal::whole_job, internal::history_event::handed_over);
     auto const acknowledged = report.results_size() == 0;
+    added.in_doubt = acknowledged;
     for (std::uint32_t index = 0; index < report.task_count(); ++index)
     {
         internal::task_answer answer;
@@ -124,6 +125,7 @@
         {
             answer = internal::to_answer(report.results(static_cast<int>(index)));
         }
+        added.in_doubt = added.in_doubt || answer.outcome == wire::outcome_may_have_run;
         auto const events = events_of(answer.outcome);
         if (events.size() > 1)
         {
--- a/filbertroad/submission/inquiries.cpp
+++ b/filbertroad/submission/inquiries.cpp
@@ -140,16 +140,30 @@
         this->inquiry_bytes -= call.bytes;
         this->out.add(forward{call.request_number, holder});
     }
-    // The holder knows more of the job than the ledgers of the removed members tell.
+    // What the ledgers told stays known: agents are not asked again if the holder is removed later.
     auto* const known = this->jobs.find(id);
-    if (known != nullptr && !known->has_ended() && !known->content->submitted)
+    if (known != nullptr && this->needs_inquiry(*known))
     {
-        this->remove_job(*known);
+        known->content->interrupted_at = this->now;
+    }
+}
+
+void shard_owner::state::expire_ledger_jobs()
+{
+    auto const keep_for = this->options.key_retention + 2 * this->options.clock_skew;
+    auto const known_jobs = this->ledger_jobs;
+    for (auto const& [serial, known] : known_jobs)
+    {
+        if (this->wall() - known->created > keep_for && this->needs_inquiry(*known))
+        {
+            this->remove_job(*known);
+        }
     }
 }
 
 void shard_owner::state::tick_inquiries()
 {
+    this->expire_ledger_jobs();
     if (this->is_serving())
     {
         for (auto const& [serial, known] : this->ledger_jobs)
--- a/filbertroad/submission/internal/errors.cpp
+++ b/filbertroad/submission/internal/errors.cpp
@@ -22,6 +22,7 @@
     error_properties{error_code::bad_key, "bad_key", "yes", 0},
     error_properties{error_code::bad_request, "bad_request", "yes", 0},
     error_properties{error_code::key_reused, "key_reused", "yes", 0},
+    error_properties{error_code::key_reused_in_doubt, "key_reused", "unknown", 0},
     error_properties{error_code::wrong_team, "wrong_team", "unknown", 0},
     error_properties{error_code::key_expired, "key_expired", "unknown", 0},
     error_properties{error_code::key_in_future, "key_in_future", "unknown", 1000},
--- a/filbertroad/submission/internal/job.hpp
+++ b/filbertroad/submission/internal/job.hpp
@@ -123,6 +123,8 @@
     std::uint32_t team = 0;
     bool failed = false;
     bool handed_over = false;
+    /// Starts of an earlier owner, perhaps with another body, may have been lost with a ledger.
+    bool in_doubt = false;
 
     [[nodiscard]] bool has_ended() const { return this->ended_tasks == this->task_count; }
 };
--- a/filbertroad/submission/internal/owner_state.hpp
+++ b/filbertroad/submission/internal/owner_state.hpp
@@ -84,6 +84,8 @@
     void settle_inquiries();
     void forward_inquiry(model::job_id const& id, model::process_id const& holder);
     void tick_inquiries();
+    /// Forgets interrupted jobs that another member holds once their keys have expired.
+    void expire_ledger_jobs();
     void refuse_inquiries();
 
     // Tasks.
--- a/filbertroad/submission/requests.cpp
+++ b/filbertroad/submission/requests.cpp
@@ -112,7 +112,8 @@
     }
     else if (known.digest != request.digest())
     {
-        this->out.refuse(number, error_code::key_reused,
+        this->out.refuse(number,
+                         known.in_doubt ? error_code::key_reused_in_doubt : error_code::key_reused,
                          "key " + request.key() + " was submitted with another body");
     }
     else if (!known.content)
--- a/filbertroad/submission/tasks.cpp
+++ b/filbertroad/submission/tasks.cpp
@@ -258,6 +258,7 @@
         }
         if (in_doubt)
         {
+            ended.in_doubt = true;
             this->settle(ended, i, internal::task_event::lost, wire::outcome_may_have_run,
                          "the earlier owner and the ledger of an agent are lost");
         }
