--- a/filbertroad/submission/inquiries.cpp
+++ b/filbertroad/submission/inquiries.cpp
@@ -16,6 +16,10 @@
 /// Beyond the fence timeout, so that one lost agent does not make a caller ask twice.
 constexpr std::chrono::milliseconds answer_margin{1000};
 
+/// After a recovery there may be many interrupted jobs, so that they are not looked at in each
+/// tick.
+constexpr std::chrono::milliseconds ledger_check_interval{500};
+
 std::size_t bytes_of(internal::call const& call)
 {
     auto const* const submitted = std::get_if<internal::submit_call>(&call);
@@ -148,33 +152,36 @@
     }
 }
 
-void shard_owner::state::expire_ledger_jobs()
+void shard_owner::state::check_ledger_jobs()
 {
+    if (this->now - this->ledger_jobs_checked_at < ledger_check_interval)
+    {
+        return;
+    }
+    this->ledger_jobs_checked_at = this->now;
     auto const keep_for = this->options.key_retention + 2 * this->options.clock_skew;
     auto const known_jobs = this->ledger_jobs;
     for (auto const& [serial, known] : known_jobs)
     {
-        if (this->wall() - known->created > keep_for && this->needs_inquiry(*known))
+        if (!this->needs_inquiry(*known))
+        {
+            continue;
+        }
+        if (this->wall() - known->created > keep_for)
         {
             this->remove_job(*known);
         }
+        else if (this->is_serving() &&
+                 this->now - known->content->interrupted_at >= this->options.recovery_wait)
+        {
+            this->open_inquiry(known->id, known->created).ends_job = true;
+        }
     }
 }
 
 void shard_owner::state::tick_inquiries()
 {
-    this->expire_ledger_jobs();
-    if (this->is_serving())
-    {
-        for (auto const& [serial, known] : this->ledger_jobs)
-        {
-            if (this->needs_inquiry(*known) &&
-                this->now - known->content->interrupted_at >= this->options.recovery_wait)
-            {
-                this->open_inquiry(known->id, known->created).ends_job = true;
-            }
-        }
-    }
+    this->check_ledger_jobs();
     for (auto place = this->inquiries.begin(); place != this->inquiries.end();)
     {
         auto& [id, asked] = *place;
--- a/filbertroad/submission/internal/job.hpp
+++ b/filbertroad/submission/internal/job.hpp
@@ -103,6 +103,8 @@
     bool submitted = false;
     bool repeatable = false;
     bool cancel_requested = false;
+    /// An answer says that its task did not run.
+    bool claims_not_run = false;
 };
 
 struct job
--- a/filbertroad/submission/internal/owner_state.hpp
+++ b/filbertroad/submission/internal/owner_state.hpp
@@ -70,6 +70,7 @@
     refusal_of_unknown(base::system_time created) const;
     void answer_or_wait(std::uint64_t number, internal::job& known, std::uint32_t wait_ms,
                         bool with_history);
+    void answer_report(std::uint64_t number, internal::job const& known, bool with_history);
     void cancel_tasks(internal::job& cancelled);
     [[nodiscard]] bool has_room_for(std::size_t bytes, std::uint32_t tasks) const;
 
@@ -84,8 +85,9 @@
     void settle_inquiries();
     void forward_inquiry(model::job_id const& id, model::process_id const& holder);
     void tick_inquiries();
-    /// Forgets interrupted jobs that another member holds once their keys have expired.
-    void expire_ledger_jobs();
+    /// Ends interrupted jobs that no caller submitted again, and forgets those that another member
+    /// holds once their keys have expired.
+    void check_ledger_jobs();
     void refuse_inquiries();
 
     // Tasks.
@@ -169,6 +171,7 @@
     std::map<std::uint64_t, internal::job*> ledger_jobs;
     std::set<std::string, std::less<>> targets_out;
     base::steady_time adopted_asked_at;
+    base::steady_time ledger_jobs_checked_at;
     /// Mean size of an answer, from which room is kept for tasks that have not ended.
     std::size_t mean_answer = 0;
     std::size_t open_tasks = 0;
--- a/filbertroad/submission/internal/test_cluster_faults.cpp
+++ b/filbertroad/submission/internal/test_cluster_faults.cpp
@@ -176,9 +176,10 @@
 
 void test_cluster::add_agent(std::string const& name)
 {
-    // The incarnation is the start time, which owners compare with the creation time of keys.
-    auto const incarnation = static_cast<std::uint64_t>(
-        test_epoch_ms + this->now + static_cast<std::int64_t>(below(this->random, 2000)));
+    // The incarnation is the start time by the clock of the agent's machine, which owners compare
+    // with the creation time of keys.
+    auto const skew = static_cast<std::int64_t>(base::hash64(name) % 5000) - 2500;
+    auto const incarnation = static_cast<std::uint64_t>(test_epoch_ms + this->now + skew);
     auto added = std::make_unique<test_agent>(name, incarnation, this->targets, this->random);
     added->send = [this, id = added->id](model::process_id const& to, owner_event event)
     {
--- a/filbertroad/submission/ownership.cpp
+++ b/filbertroad/submission/ownership.cpp
@@ -173,7 +173,7 @@
         {
             std::erase(known->content->waiting, *due);
         }
-        this->out.answer(*due, this->report(*known, request->with_history));
+        this->answer_report(*due, *known, request->with_history);
     }
 }
 
--- a/filbertroad/submission/queries.cpp
+++ b/filbertroad/submission/queries.cpp
@@ -135,7 +135,7 @@
 {
     if (known.has_ended() || wait_ms == 0)
     {
-        this->out.answer(number, this->report(known, with_history));
+        this->answer_report(number, known, with_history);
         return;
     }
     known.content->waiting.push_back(number);
@@ -143,6 +143,19 @@
                       {known.id, this->now + std::chrono::milliseconds(wait_ms), with_history});
 }
 
+void shard_owner::state::answer_report(std::uint64_t number, internal::job const& known,
+                                       bool with_history)
+{
+    // A later owner may have started what was not run here.
+    if (known.has_ended() && known.content && known.content->claims_not_run &&
+        (!this->confirmed || this->removed))
+    {
+        this->out.refuse(number, error_code::not_confirmed, "this owner may have been replaced");
+        return;
+    }
+    this->out.answer(number, this->report(known, with_history));
+}
+
 void shard_owner::state::cancel_tasks(internal::job& cancelled)
 {
     if (cancelled.has_ended())
--- a/filbertroad/submission/tasks.cpp
+++ b/filbertroad/submission/tasks.cpp
@@ -129,6 +129,8 @@
     this->jobs.hold(owner, bytes);
     this->mean_answer = (this->mean_answer * (mean_answer_weight - 1) + bytes) / mean_answer_weight;
     this->note(owner, index, internal::history_event::ended, answer.target);
+    owner.content->claims_not_run =
+        owner.content->claims_not_run || answer.outcome == wire::outcome_not_run;
     ended.answer = std::make_unique<internal::task_answer>(std::move(answer));
     if (owner.has_ended())
     {
@@ -176,7 +178,7 @@
     {
         if (auto const request = this->waiting.take(number))
         {
-            this->out.answer(number, this->report(ended, request->with_history));
+            this->answer_report(number, ended, request->with_history);
         }
     }
 }
