--- a/filbertroad/submission/internal/errors.hpp
+++ b/filbertroad/submission/internal/errors.hpp
@@ -21,7 +21,8 @@
     bad_request,
     /// The key belongs to a job with another body.
     key_reused,
-    /// As above, but starts under the key may have been lost with a ledger.
+    /// As above, but another owner may have started this body: a ledger is lost, or this owner may
+    /// have been replaced.
     key_reused_in_doubt,
     wrong_team,
     key_expired,
--- a/filbertroad/submission/internal/owner_state.hpp
+++ b/filbertroad/submission/internal/owner_state.hpp
@@ -42,6 +42,8 @@
     void answer_due();
     void dispatch();
     void send(internal::job& owner, scheduling::task_id const& id, internal::agent_record& agent);
+    /// Whether no later owner can have started what is queued here.
+    [[nodiscard]] bool is_current() const;
     /// Whether new keys are accepted and interrupted jobs go on.
     [[nodiscard]] bool is_serving() const;
     /// Whether no other process can have accepted a key created at `created` before `change`.
--- a/filbertroad/submission/internal/test_cluster.cpp
+++ b/filbertroad/submission/internal/test_cluster.cpp
@@ -101,6 +101,7 @@
 
 test_cluster::test_cluster(std::uint64_t seed) : random(seed)
 {
+    this->entry_fault_rarity = 30 + below(this->random, 100);
     for (auto const* const name : {"e1", "e2", "e3"})
     {
         this->add_entry(name);
--- a/filbertroad/submission/internal/test_cluster.hpp
+++ b/filbertroad/submission/internal/test_cluster.hpp
@@ -40,6 +40,8 @@
     bool cancels = false;
     /// Another job has the same key and another body, so that only submissions tell which it is.
     bool shares_key = false;
+    /// Tasks that wait longer are rejected; 0 means no deadline.
+    std::uint32_t deadline_ms = 0;
     std::int64_t next_ask = 0;
     bool ended = false;
     bool acknowledged = false;
@@ -148,6 +150,8 @@
     log_state& append();
 
     random_source random;
+    /// One in so many steps has each fault of an entry.
+    std::uint64_t entry_fault_rarity = 0;
     std::int64_t now = 0;
     std::uint64_t last_incarnation = 0;
     std::vector<log_state> log{log_state{}};
--- a/filbertroad/submission/internal/test_cluster_faults.cpp
+++ b/filbertroad/submission/internal/test_cluster_faults.cpp
@@ -53,7 +53,7 @@
 {
     auto const up_to = [&](std::uint64_t limit)
     { return this->now + static_cast<std::int64_t>(below(this->random, limit)); };
-    switch (below(this->random, 130))
+    switch (below(this->random, this->entry_fault_rarity))
     {
     case 0:
         this->stop(process);
@@ -343,6 +343,8 @@
     job.body = "body" + std::to_string(this->jobs.size());
     job.tasks = 1 + static_cast<int>(below(this->random, 4));
     job.persistent = chance(this->random, 85);
+    job.deadline_ms =
+        chance(this->random, 25) ? 200 + static_cast<std::uint32_t>(below(this->random, 3000)) : 0;
     job.next_ask = this->now;
     job.shares_key = chance(this->random, 15);
     if (!this->jobs.empty() && this->jobs.back().shares_key)
@@ -380,6 +382,7 @@
         wanted.set_key(job.key);
         wanted.set_team("team");
         wanted.set_digest(job.body);
+        wanted.set_deadline_ms(job.deadline_ms);
         for (int task = 0; task < job.tasks; ++task)
         {
             wanted.add_tasks()->set_payload(job.body + "#" + std::to_string(task));
--- a/filbertroad/submission/ownership.cpp
+++ b/filbertroad/submission/ownership.cpp
@@ -60,7 +60,12 @@
 
 bool shard_owner::state::is_serving() const
 {
-    return this->confirmed && owns(this->owned) && !this->removed;
+    return this->is_current() && owns(this->owned);
+}
+
+bool shard_owner::state::is_current() const
+{
+    return this->confirmed && !this->removed;
 }
 
 bool shard_owner::state::is_after(base::system_time created, base::system_time change) const
@@ -141,7 +146,7 @@
 void shard_owner::state::reject_expired()
 {
     // A later owner may have started what an unconfirmed owner still sees in its queue.
-    if (!this->confirmed || this->removed)
+    if (!this->is_current())
     {
         return;
     }
@@ -179,7 +184,7 @@
 
 void shard_owner::state::dispatch()
 {
-    if (!this->confirmed || this->removed)
+    if (!this->is_current())
     {
         return;
     }
--- a/filbertroad/submission/queries.cpp
+++ b/filbertroad/submission/queries.cpp
@@ -65,7 +65,7 @@
         }
         return nullptr;
     }
-    if (may_act && !known->has_ended() && (!this->confirmed || this->removed))
+    if (may_act && !known->has_ended() && !this->is_current())
     {
         this->out.refuse(number, error_code::not_confirmed, "this owner may have been replaced");
         return nullptr;
@@ -147,8 +147,7 @@
                                        bool with_history)
 {
     // A later owner may have started what was not run here.
-    if (known.has_ended() && known.content && known.content->claims_not_run &&
-        (!this->confirmed || this->removed))
+    if (known.has_ended() && known.content && known.content->claims_not_run && !this->is_current())
     {
         this->out.refuse(number, error_code::not_confirmed, "this owner may have been replaced");
         return;
--- a/filbertroad/submission/requests.cpp
+++ b/filbertroad/submission/requests.cpp
@@ -112,8 +112,9 @@
     }
     else if (known.digest != request.digest())
     {
+        auto const in_doubt = known.in_doubt || !this->is_current();
         this->out.refuse(number,
-                         known.in_doubt ? error_code::key_reused_in_doubt : error_code::key_reused,
+                         in_doubt ? error_code::key_reused_in_doubt : error_code::key_reused,
                          "key " + request.key() + " was submitted with another body");
     }
     else if (!known.content)
