--- a/filbertroad/submission/shard_owner_test.cpp
+++ b/filbertroad/submission/shard_owner_test.cpp
@@ -388,6 +388,59 @@
     EXPECT_EQ(this->state_of(key).state(), wire::job_state_complete);
 }
 
+// Guards against a second start of tasks that one removed owner started, after another member held
+// the rest and was removed too: agents report the starts of the first owner only once.
+TEST_F(shard_owner_test, remembers_ledgers_of_a_job_that_another_member_held)
+{
+    auto const key = this->key("k");
+    this->owned.other_members = {peer};
+    this->remove_dead();
+    this->report_ledger({this->entry(key, 0, true)});
+    this->pass(seconds(2));
+    this->submit(request(key, 3));
+    wire::lookup_reply answer;
+    answer.set_held(true);
+    answer.set_current(true);
+    this->owner.lookup_answered(peer, this->take<send_lookup>().at(0).lookup, answer,
+                                this->clock.steady_now());
+    ASSERT_EQ(this->take<forward>().size(), 1U);
+    ++this->owned.view;
+    this->owned.other_members = {};
+    this->owned.removed = {dead, peer};
+    this->apply_ownership();
+    auto held = this->entry(key, 1, true);
+    *held.mutable_owner() = wire::to_wire(peer);
+    this->report_ledger({held});
+    this->submit(request(key, 3));
+    this->pass(seconds(2));
+    auto const starts = this->take<send_start>();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].start.task().index(), 2U);
+}
+
+// Guards against a false "not run" by an owner that was replaced while it was paused.
+TEST_F(shard_owner_test, makes_no_claim_that_tasks_did_not_run_while_unconfirmed)
+{
+    auto const key = this->key("k");
+    auto urgent = request(key, 5);
+    urgent.mutable_job()->set_deadline_ms(1500);
+    this->submit(urgent);
+    ASSERT_EQ(this->take<send_start>().size(), 4U);
+    this->owner.set_confirmed(false, this->clock.steady_now());
+    this->pass(seconds(2));
+    EXPECT_EQ(this->state_of(key).finished(), 0U) << "an unconfirmed owner rejected a task";
+    this->owner.set_confirmed(true, this->clock.steady_now());
+    this->pass(milliseconds(50));
+    this->owner.agent_unlinked(this->agent, this->clock.steady_now());
+    this->pass(seconds(10));
+    EXPECT_EQ(this->state_of(key).results(4).outcome(), wire::outcome_not_run);
+    this->owner.set_confirmed(false, this->clock.steady_now());
+    this->submit(urgent);
+    EXPECT_EQ(this->reply_of<wire::request_error>().not_run(), "unknown");
+    this->submit(request(key, 1, "other"));
+    EXPECT_EQ(this->reply_of<wire::request_error>().not_run(), "unknown");
+}
+
 // Guards against jobs that never end because their caller is gone.
 TEST_F(shard_owner_test, ends_an_interrupted_job_after_the_recovery_wait)
 {
