--- a/filbertroad/submission/internal/errors.hpp
+++ b/filbertroad/submission/internal/errors.hpp
@@ -21,6 +21,9 @@
     bad_request,
     /// The key belongs to a job with another body.
     key_reused,
+    /// As above, but another owner may have started this body: a ledger is lost, or this owner may
+    /// have been replaced.
+    key_reused_in_doubt,
     wrong_team,
     key_expired,
     key_in_future,
--- a/filbertroad/submission/internal/job.hpp
+++ b/filbertroad/submission/internal/job.hpp
@@ -103,6 +103,8 @@
     bool submitted = false;
     bool repeatable = false;
     bool cancel_requested = false;
+    /// An answer says that its task did not run.
+    bool claims_not_run = false;
 };
 
 struct job
@@ -123,6 +125,8 @@
     std::uint32_t team = 0;
     bool failed = false;
     bool handed_over = false;
+    /// Starts of an earlier owner, perhaps with another body, may have been lost with a ledger.
+    bool in_doubt = false;
 
     [[nodiscard]] bool has_ended() const { return this->ended_tasks == this->task_count; }
 };
