Add TLS for links and HTTP

Cause: links and HTTP may cross networks that others can read.

Change: tls.hpp loads certificate files into a context that link::connect, link_server::listen, http_server::listen, http_client and send_and_wait take as an optional last argument. TLS 1.3 through Asio's ssl stream; with is_mutual a server demands a client certificate. Certificates are checked against the authority, not against names, since peers are addressed by IP number. Servers send no session tickets, so that a client can tell whether a kept connection is usable. net_error gets bad_certificate. Conversions to Beast's types move to internal/http_messages, and the I/O of links to internal/tcp_link_io.

Conclusion: both protocols run with and without TLS behind the same headers.

--- a/filbertroad/net/http.cpp
+++ b/filbertroad/net/http.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <utility>
 
 namespace filbertroad::net
 {
@@ -80,10 +81,10 @@
 }
 
 http_result send_and_wait(std::string_view address, http_request request,
-                          std::chrono::milliseconds timeout)
+                          std::chrono::milliseconds timeout, std::shared_ptr<tls_context const> tls)
 {
     boost::asio::io_context io(1);
-    http_client client(io, address, 1);
+    http_client client(io, address, 1, std::move(tls));
     std::optional<http_result> result;
     client.send(std::move(request), timeout,
                 [&](http_result answer) { result.emplace(std::move(answer)); });
--- a/filbertroad/net/http.hpp
+++ b/filbertroad/net/http.hpp
@@ -92,10 +92,10 @@
 class http_server
 {
 public:
-    /// Binds `address` (IP:PORT) at once.
+    /// Binds `address` (IP:PORT) at once. Connections use TLS if `tls` is given.
     static base::result<std::unique_ptr<http_server>, base::error<net_error>>
     listen(boost::asio::io_context& io, std::string_view address, http_limits limits,
-           http_handler handler);
+           http_handler handler, std::shared_ptr<tls_context const> tls = nullptr);
 
     virtual ~http_server() = default;
     [[nodiscard]] virtual std::uint16_t port() const = 0;
@@ -121,7 +121,9 @@
 class http_client
 {
 public:
-    http_client(boost::asio::io_context& io, std::string_view address, std::size_t max_connections);
+    /// Connections use TLS if `tls` is given.
+    http_client(boost::asio::io_context& io, std::string_view address, std::size_t max_connections,
+                std::shared_ptr<tls_context const> tls = nullptr);
     ~http_client();
     http_client(http_client const&) = delete;
     http_client& operator=(http_client const&) = delete;
@@ -138,7 +140,8 @@
 
 /// Sends one request on a new connection and waits for the answer; for command line tools.
 [[nodiscard]] http_result send_and_wait(std::string_view address, http_request request,
-                                        std::chrono::milliseconds timeout);
+                                        std::chrono::milliseconds timeout,
+                                        std::shared_ptr<tls_context const> tls = nullptr);
 
 } // namespace filbertroad::net
 
--- a/filbertroad/net/http_client.cpp
+++ b/filbertroad/net/http_client.cpp
@@ -1,11 +1,14 @@
 #include "filbertroad/net/http.hpp"
 #include "filbertroad/net/internal/address.hpp"
-#include "filbertroad/net/internal/http_connection.hpp"
+#include "filbertroad/net/internal/http_messages.hpp"
+#include "filbertroad/net/tls.hpp"
 
 #include <algorithm>
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/ssl/error.hpp>
+#include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
@@ -62,9 +65,32 @@
 
 struct connection
 {
-    explicit connection(strand_type const& strand) : socket(strand) {}
+    using socket_type = asio::basic_stream_socket<tcp, strand_type>;
 
-    asio::basic_stream_socket<tcp, strand_type> socket;
+    connection(strand_type const& strand, tls_context const* context) : socket(strand)
+    {
+        if (context != nullptr)
+        {
+            this->tls.emplace(this->socket, context->native());
+        }
+    }
+
+    /// Calls `use` with the stream that carries HTTP.
+    template <class Use>
+    void on_stream(Use use)
+    {
+        if (this->tls)
+        {
+            use(*this->tls);
+        }
+        else
+        {
+            use(this->socket);
+        }
+    }
+
+    socket_type socket;
+    std::optional<asio::ssl::stream<socket_type&>> tls;
     beast::flat_buffer buffer;
     http::request<http::string_body> message;
     std::optional<http::response_parser<http::string_body>> parser;
@@ -83,85 +109,17 @@
     return code == asio::error::would_block && clock_type::now() - idle.idle_since < max_idle;
 }
 
-bool is_valid(http_request const& request)
-{
-    auto const is_word = [](std::string_view text)
-    {
-        return !text.empty() && internal::is_clean_text(text) &&
-               text.find_first_of(" \t") == std::string_view::npos;
-    };
-    return is_word(request.method) && is_word(request.path) && request.path.front() == '/' &&
-           (request.query.empty() || is_word(request.query)) &&
-           std::all_of(request.headers.begin(), request.headers.end(),
-                       [&](http_header const& header)
-                       { return is_word(header.name) && internal::is_clean_text(header.value); });
-}
-
-http::request<http::string_body> to_message(http_request request, std::string const& host)
-{
-    http::request<http::string_body> message;
-    message.method_string(request.method);
-    message.target(request.query.empty() ? request.path : request.path + "?" + request.query);
-    message.set(http::field::host, host);
-    if (!request.body.empty())
-    {
-        message.set(http::field::content_type, "application/json");
-    }
-    for (auto const& header : request.headers)
-    {
-        message.set(header.name, header.value);
-    }
-    message.body() = std::move(request.body);
-    message.prepare_payload();
-    return message;
-}
-
-/// Bytes over 127 become question marks. Header values end up in strings of link messages, which
-/// must be UTF-8: a message with other bytes closes its link.
-std::string to_ascii(std::string text)
-{
-    std::replace_if(
-        text.begin(), text.end(), [](unsigned char c) { return c > 127; }, '?');
-    return text;
-}
-
-http_response to_response(http::response<http::string_body>&& message)
-{
-    http_response result;
-    result.status = message.result_int();
-    result.content_type = std::string(message[http::field::content_type]);
-    for (auto const& field : message)
-    {
-        result.headers.push_back(
-            {std::string(field.name_string()), to_ascii(std::string(field.value()))});
-    }
-    result.body = std::move(message.body());
-    return result;
-}
-
-net_error error_kind(error_code code)
-{
-    if (code == http::error::body_limit || code == http::error::header_limit ||
-        code == http::error::buffer_overflow)
-    {
-        return net_error::too_large;
-    }
-    bool const is_http = code.category() == make_error_code(http::error::bad_method).category();
-    return is_http && code != http::error::end_of_stream && code != http::error::partial_message
-               ? net_error::protocol
-               : net_error::closed;
-}
-
 } // namespace
 
 /// All members but send() run on the strand.
 class http_client::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
-    implementation(asio::io_context& io, std::string_view address, std::size_t max_connections)
+    implementation(asio::io_context& io, std::string_view address, std::size_t max_connections,
+                   std::shared_ptr<tls_context const> tls)
         : strand(asio::make_strand(io)), address(address),
           endpoint(internal::parse_address(address)),
-          max_connections(std::max<std::size_t>(1, max_connections))
+          max_connections(std::max<std::size_t>(1, max_connections)), tls(std::move(tls))
     {
     }
 
@@ -213,7 +171,7 @@
             this->fail(item, this->endpoint.error());
             return;
         }
-        if (!is_valid(item->request))
+        if (!internal::is_valid(item->request))
         {
             this->fail(item, {net_error::protocol,
                               "method, path, query or a header holds characters that HTTP does "
@@ -265,7 +223,7 @@
             this->waiting.pop_front();
             if (is_new)
             {
-                used = std::make_shared<connection>(this->strand);
+                used = std::make_shared<connection>(this->strand, this->tls.get());
             }
             used->current = item;
             item->used = used;
@@ -304,54 +262,87 @@
                                      "cannot connect to " + self->address + ": " + code.message()});
                     return;
                 }
-                self->write(used);
+                used->tls ? self->handshake(used) : self->write(used);
             });
     }
 
-    void write(connection_ptr const& used)
+    void handshake(connection_ptr const& used)
     {
-        used->message = to_message(std::move(used->current->request), this->address);
-        http::async_write(
-            used->socket, used->message,
-            [self = this->shared_from_this(), used](error_code code, std::size_t size)
+        used->tls->async_handshake(
+            asio::ssl::stream_base::client,
+            [self = this->shared_from_this(), used](error_code code)
             {
-                auto& item = *used->current;
-                item.may_have_arrived = size != 0;
-                if (item.timed_out || self->stopped || (code && size == 0))
+                if (code || used->current->timed_out || self->stopped)
                 {
-                    self->end(used, {net_error::closed, "cannot write: " + code.message()});
+                    bool const is_refused = code.category() == asio::error::get_ssl_category();
+                    self->end(used,
+                              {is_refused ? net_error::bad_certificate : net_error::cannot_connect,
+                               "TLS handshake with " + self->address + ": " + code.message()});
                     return;
                 }
-                // A server may refuse a request before it has read all of it; its answer is read
-                // even if the rest of the request could not be written.
-                self->read(used, code);
+                self->write(used);
+            });
+    }
+
+    void write(connection_ptr const& used)
+    {
+        used->message = internal::to_message(std::move(used->current->request), this->address);
+        used->on_stream(
+            [&](auto& stream)
+            {
+                http::async_write(
+                    stream, used->message,
+                    [self = this->shared_from_this(), used](error_code code, std::size_t size)
+                    { self->on_written(used, code, size); });
             });
     }
 
+    void on_written(connection_ptr const& used, error_code code, std::size_t size)
+    {
+        auto& item = *used->current;
+        // With TLS a failed write tells nothing about the bytes that the socket took.
+        item.may_have_arrived = size != 0 || used->tls.has_value();
+        if (item.timed_out || this->stopped || (code && size == 0))
+        {
+            this->end(used, {net_error::closed, "cannot write: " + code.message()});
+            return;
+        }
+        // A server may refuse a request before it has read all of it; its answer is read even if
+        // the rest of the request could not be written.
+        this->read(used, code);
+    }
+
     void read(connection_ptr const& used, error_code write_fault)
     {
         used->parser.emplace();
         used->parser->body_limit(max_answer_bytes);
         used->parser->header_limit(max_answer_header_bytes);
         used->parser->skip(used->message.method() == http::verb::head);
-        http::async_read(
-            used->socket, used->buffer, *used->parser,
-            [self = this->shared_from_this(), used, write_fault](error_code code, std::size_t)
+        used->on_stream(
+            [&](auto& stream)
             {
-                if (self->stopped)
-                {
-                    return;
-                }
-                if (code)
-                {
-                    self->end(used, {error_kind(code), "no whole answer from " + self->address +
-                                                           ": " + code.message()});
-                    return;
-                }
-                self->succeed(used, !write_fault);
+                http::async_read(stream, used->buffer, *used->parser,
+                                 [self = this->shared_from_this(), used,
+                                  write_fault](error_code code, std::size_t)
+                                 { self->on_read(used, code, !write_fault); });
             });
     }
 
+    void on_read(connection_ptr const& used, error_code code, bool was_written)
+    {
+        if (this->stopped)
+        {
+            return;
+        }
+        if (code)
+        {
+            this->end(used, {internal::error_kind(code),
+                             "no whole answer from " + this->address + ": " + code.message()});
+            return;
+        }
+        this->succeed(used, was_written);
+    }
+
     void succeed(connection_ptr const& used, bool was_written)
     {
         auto const item = std::exchange(used->current, nullptr);
@@ -359,7 +350,7 @@
         this->busy.erase(used);
         bool const keep = was_written && used->parser->keep_alive() && !used->parser->need_eof() &&
                           used->buffer.size() == 0;
-        auto response = to_response(used->parser->release());
+        auto response = internal::to_response(used->parser->release());
         used->parser.reset();
         used->message = {};
         if (keep && used->socket.is_open())
@@ -408,6 +399,7 @@
     std::string address;
     base::result<tcp::endpoint, base::error<net_error>> endpoint;
     std::size_t max_connections;
+    std::shared_ptr<tls_context const> tls;
     std::deque<exchange_ptr> waiting;
     std::vector<connection_ptr> idle;
     std::set<connection_ptr> busy;
@@ -415,8 +407,8 @@
 };
 
 http_client::http_client(asio::io_context& io, std::string_view address,
-                         std::size_t max_connections)
-    : content(std::make_shared<implementation>(io, address, max_connections))
+                         std::size_t max_connections, std::shared_ptr<tls_context const> tls)
+    : content(std::make_shared<implementation>(io, address, max_connections, std::move(tls)))
 {
 }
 
--- a/filbertroad/net/http_server.cpp
+++ b/filbertroad/net/http_server.cpp
@@ -143,12 +143,13 @@
 
 base::result<std::unique_ptr<http_server>, base::error<net_error>>
 http_server::listen(asio::io_context& io, std::string_view address, http_limits limits,
-                    http_handler handler)
+                    http_handler handler, std::shared_ptr<tls_context const> tls)
 {
     BOOST_OUTCOME_TRY(auto acceptor, internal::open_acceptor(io, address));
     auto hub = std::make_shared<internal::http_hub>();
     hub->limits = limits;
     hub->handler = std::move(handler);
+    hub->tls = std::move(tls);
     return std::unique_ptr<http_server>(
         std::make_unique<beast_server>(io, std::move(acceptor), std::move(hub)));
 }
--- a/filbertroad/net/internal/http_connection.cpp
+++ b/filbertroad/net/internal/http_connection.cpp
@@ -1,8 +1,12 @@
 #include "filbertroad/net/internal/http_connection.hpp"
 
+#include "filbertroad/net/internal/http_messages.hpp"
+#include "filbertroad/net/tls.hpp"
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -11,8 +15,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 #include <optional>
 #include <utility>
 
@@ -24,12 +26,6 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-bool is_clean_text(std::string_view text)
-{
-    return std::none_of(text.begin(), text.end(),
-                        [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; });
-}
-
 namespace
 {
 
@@ -40,51 +36,11 @@
 /// would reset the connection and could discard the answer.
 constexpr std::chrono::milliseconds linger_time{1'000};
 
-http_response error_response(unsigned status, std::string_view code, std::string_view detail)
-{
-    boost::json::object body{{"error", {{"code", code}, {"detail", detail}}}};
-    return {.status = status, .body = boost::json::serialize(body)};
-}
+/// Tells a client that it may send its body.
+constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
 
-std::string_view as_view(beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
-http_request to_request(http::request<http::string_body>&& message)
-{
-    http_request result;
-    result.method = std::string(message.method_string());
-    auto const target = as_view(message.target());
-    auto const mark = target.find('?');
-    result.path = target.substr(0, mark);
-    if (mark != std::string_view::npos)
-    {
-        result.query = target.substr(mark + 1);
-    }
-    for (auto const& field : message)
-    {
-        result.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
-    result.body = std::move(message.body());
-    return result;
-}
-
-/// Name of the first header whose value has bytes over 127, or nothing. Header values end up in
-/// strings of link messages, which must be UTF-8: a message with other bytes closes its link.
-std::optional<std::string>
-field_with_other_than_ascii(http::request<http::string_body> const& message)
-{
-    for (auto const& field : message)
-    {
-        auto const value = field.value();
-        if (std::any_of(value.begin(), value.end(), [](unsigned char c) { return c > 127; }))
-        {
-            return std::string(field.name_string());
-        }
-    }
-    return std::nullopt;
-}
+/// Room for the first bytes of a request over TLS.
+constexpr std::size_t first_read_bytes = 4UL * 1024;
 
 class beast_connection final : public http_connection,
                                public std::enable_shared_from_this<beast_connection>
@@ -94,6 +50,10 @@
         : strand(asio::make_strand(io)), socket(this->strand), timer(this->strand),
           hub(std::move(hub))
     {
+        if (this->hub->tls)
+        {
+            this->tls.emplace(this->socket, this->hub->tls->native());
+        }
     }
 
     ~beast_connection() override { this->unregister(); }
@@ -115,7 +75,7 @@
                    {
                        error_code ignored;
                        self->socket.set_option(tcp::no_delay(true), ignored);
-                       self->wait_for_request(self->hub->limits.read_timeout);
+                       self->begin();
                        self->check_later();
                    });
     }
@@ -161,6 +121,7 @@
 
     enum class phase
     {
+        handshake,
         idle,
         head,
         body,
@@ -205,6 +166,33 @@
         std::atomic<bool> sent = false;
     };
 
+    /// Calls `use` with the stream that carries HTTP.
+    template <class Use>
+    void on_stream(Use use)
+    {
+        if (this->tls)
+        {
+            use(*this->tls);
+        }
+        else
+        {
+            use(this->socket);
+        }
+    }
+
+    void begin()
+    {
+        if (!this->tls)
+        {
+            this->wait_for_request(this->hub->limits.read_timeout);
+            return;
+        }
+        this->enter(phase::handshake, this->hub->limits.read_timeout);
+        this->tls->async_handshake(
+            asio::ssl::stream_base::server, [self = this->shared_from_this()](error_code code)
+            { code ? self->close() : self->wait_for_request(self->hub->limits.read_timeout); });
+    }
+
     void enter(phase next, std::chrono::milliseconds limit)
     {
         this->now_in = next;
@@ -262,22 +250,52 @@
         {
             this->close_if_idle();
         }
-        this->socket.async_wait(tcp::socket::wait_read,
-                                [self = this->shared_from_this()](error_code code)
-                                {
-                                    if (!code && self->now_in == phase::idle)
+        // Waiting for the socket keeps idle connections without a buffer; bytes that TLS holds back
+        // do not make the socket readable.
+        if (this->tls)
+        {
+            this->tls->async_read_some(
+                this->buffer.prepare(first_read_bytes),
+                [self = this->shared_from_this()](error_code code, std::size_t size)
+                { self->on_first_bytes(code, size); });
+        }
+        else
+        {
+            this->socket.async_wait(tcp::socket::wait_read,
+                                    [self = this->shared_from_this()](error_code code)
                                     {
-                                        self->read_head();
-                                    }
-                                });
+                                        if (!code && self->now_in == phase::idle)
+                                        {
+                                            self->read_head();
+                                        }
+                                    });
+        }
+    }
+
+    void on_first_bytes(error_code code, std::size_t size)
+    {
+        if (code)
+        {
+            this->close();
+        }
+        else if (this->now_in == phase::idle)
+        {
+            this->buffer.commit(size);
+            this->read_head();
+        }
     }
 
     void read_head()
     {
         this->enter(phase::head, this->hub->limits.read_timeout);
-        http::async_read_header(this->socket, this->buffer, *this->parser,
-                                [self = this->shared_from_this()](error_code code, std::size_t)
-                                { code ? self->on_read_error(code) : self->on_head(); });
+        this->on_stream(
+            [this](auto& stream)
+            {
+                http::async_read_header(
+                    stream, this->buffer, *this->parser,
+                    [self = this->shared_from_this()](error_code code, std::size_t)
+                    { code ? self->on_read_error(code) : self->on_head(); });
+            });
     }
 
     void on_head()
@@ -293,17 +311,24 @@
             this->read_body();
             return;
         }
-        static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
-        asio::async_write(this->socket, asio::buffer(go_on),
-                          [self = this->shared_from_this()](error_code code, std::size_t)
-                          { code ? self->on_read_error(code) : self->read_body(); });
+        this->on_stream(
+            [this](auto& stream)
+            {
+                asio::async_write(stream, asio::buffer(go_on),
+                                  [self = this->shared_from_this()](error_code code, std::size_t)
+                                  { code ? self->on_read_error(code) : self->read_body(); });
+            });
     }
 
     void read_body()
     {
-        http::async_read(this->socket, this->buffer, *this->parser,
-                         [self = this->shared_from_this()](error_code code, std::size_t)
-                         { code ? self->on_read_error(code) : self->handle(); });
+        this->on_stream(
+            [this](auto& stream)
+            {
+                http::async_read(stream, this->buffer, *this->parser,
+                                 [self = this->shared_from_this()](error_code code, std::size_t)
+                                 { code ? self->on_read_error(code) : self->handle(); });
+            });
     }
 
     void on_read_error(error_code code)
@@ -334,7 +359,7 @@
                         false);
         }
         else if (code == http::error::end_of_stream || code == http::error::partial_message ||
-                 code.category() != make_error_code(http::error::bad_method).category())
+                 !is_http_error(code))
         {
             this->close();
         }
@@ -349,23 +374,14 @@
     {
         this->now_in = phase::handling;
         this->deadline = clock::time_point::max();
-        auto const target = this->parser->get().target();
-        if (target.empty() || target.front() != '/' ||
-            std::any_of(target.begin(), target.end(), [](unsigned char c) { return c > 127; }))
-        {
-            this->write(error_response(400, "bad_request", "request target: expected a path"),
-                        false);
-            return;
-        }
-        if (auto const field = field_with_other_than_ascii(this->parser->get()))
+        if (auto const fault = head_fault(this->parser->get()))
         {
-            this->write(error_response(400, "bad_request", "header " + *field + ": expected ASCII"),
-                        false);
+            this->write(error_response(400, "bad_request", *fault), false);
             return;
         }
         auto const pending = std::make_shared<pending_answer>(this->weak_from_this());
         // The fields stay in the parser, which decides on keep-alive when the answer is sent.
-        auto request = to_request(std::move(this->parser->get()));
+        auto request = to_request(this->parser->get());
         this->hub->handler(std::move(request), [pending](http_response response)
                            { pending->send(std::move(response)); });
     }
@@ -381,38 +397,16 @@
             this->close();
             return;
         }
-        this->prepare_message(std::move(response), keep_alive);
+        this->message = to_message(std::move(response), this->parser->get(),
+                                   keep_alive && !this->hub->stopping);
         this->enter(phase::writing, this->hub->limits.idle_timeout);
-        http::async_write(this->socket, this->message,
-                          [self = this->shared_from_this()](error_code code, std::size_t)
-                          { self->on_written(code); });
-    }
-
-    void prepare_message(http_response response, bool keep_alive)
-    {
-        this->message = {};
-        this->message.result(response.status);
-        this->message.version(this->parser->get().version() == 10 ? 10 : 11);
-        this->message.set(http::field::content_type, response.content_type);
-        for (auto const& header : response.headers)
-        {
-            if (!header.name.empty() && is_clean_text(header.name) && is_clean_text(header.value))
+        this->on_stream(
+            [this](auto& stream)
             {
-                this->message.set(header.name, header.value);
-            }
-        }
-        bool const is_cut = response.fault == answer_fault::cut_body;
-        this->message.keep_alive(keep_alive && !is_cut && !this->hub->stopping);
-        bool const has_no_body =
-            response.status < 200 || response.status == 204 || response.status == 304;
-        if (!has_no_body)
-        {
-            this->message.content_length(response.body.size() + (is_cut ? 1 : 0));
-            if (this->parser->get().method() != http::verb::head)
-            {
-                this->message.body() = std::move(response.body);
-            }
-        }
+                http::async_write(stream, this->message,
+                                  [self = this->shared_from_this()](error_code code, std::size_t)
+                                  { self->on_written(code); });
+            });
     }
 
     void on_written(error_code code)
@@ -432,11 +426,23 @@
         }
         else
         {
-            this->enter(phase::lingering, linger_time);
-            error_code ignored;
-            this->socket.shutdown(tcp::socket::shutdown_send, ignored);
-            this->discard_input();
+            this->linger();
+        }
+    }
+
+    void linger()
+    {
+        this->enter(phase::lingering, linger_time);
+        if (this->tls)
+        {
+            // Ends when the client has closed too.
+            this->tls->async_shutdown([self = this->shared_from_this()](error_code)
+                                      { self->close(); });
+            return;
         }
+        error_code ignored;
+        this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+        this->discard_input();
     }
 
     void discard_input()
@@ -479,6 +485,7 @@
     socket_type socket;
     timer_type timer;
     std::shared_ptr<http_hub> hub;
+    std::optional<asio::ssl::stream<socket_type&>> tls;
     phase now_in = phase::idle;
     clock::time_point deadline = clock::time_point::max();
     bool timed_out = false;
--- a/filbertroad/net/internal/http_connection.hpp
+++ b/filbertroad/net/internal/http_connection.hpp
@@ -26,6 +26,7 @@
 {
     http_limits limits;
     http_handler handler;
+    std::shared_ptr<tls_context const> tls;
     std::mutex lock;
     std::set<std::weak_ptr<http_connection>, std::owner_less<>> connections;
     std::atomic<std::size_t> connection_count = 0;
@@ -54,9 +55,6 @@
 [[nodiscard]] std::shared_ptr<http_connection> make_http_connection(boost::asio::io_context& io,
                                                                     std::shared_ptr<http_hub> hub);
 
-/// Whether `text` may stand in a header or request line: no control characters.
-[[nodiscard]] bool is_clean_text(std::string_view text);
-
 } // namespace filbertroad::net::internal
 
 #endif
--- a/filbertroad/net/internal/tcp_link.cpp
+++ b/filbertroad/net/internal/tcp_link.cpp
@@ -1,13 +1,12 @@
 #include "filbertroad/net/internal/tcp_link.hpp"
 
 #include "filbertroad/net/internal/address.hpp"
+#include "filbertroad/net/internal/tcp_link_io.hpp"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <utility>
-#include <vector>
 
 namespace filbertroad::net::internal
 {
@@ -18,46 +17,27 @@
 namespace
 {
 
-/// Bytes given to the socket at once.
-constexpr std::size_t write_bytes = 256UL * 1024;
-
-/// Bytes read from the socket at once. The buffer belongs to the thread, so that idle links hold
-/// none.
-constexpr std::size_t read_bytes = 64UL * 1024;
-
-/// Reads in a row before other links of the thread get their turn.
-constexpr int max_reads_in_turn = 8;
-
-/// Buffers with more capacity are released when they are empty.
-constexpr std::size_t kept_capacity = 64UL * 1024;
-
 std::uint64_t next_number()
 {
     static std::atomic<std::uint64_t> last = 0;
     return ++last;
 }
 
-void release_if_large(std::string& buffer)
-{
-    if (buffer.capacity() > kept_capacity)
-    {
-        std::string().swap(buffer);
-    }
-}
-
-base::error<net_error> closed_error(std::string detail)
-{
-    return {net_error::closed, std::move(detail)};
-}
+/// Part of a reason that is told to the peer.
+constexpr std::size_t max_reason_bytes = 1'024;
 
 } // namespace
 
-tcp_link::tcp_link(asio::io_context& io, link_side side, link_handlers handlers)
+tcp_link::tcp_link(asio::io_context& io, link_side side, link_handlers handlers,
+                   std::shared_ptr<tls_context const> tls)
     : id(next_number()), strand(asio::make_strand(io)), socket(this->strand), timer(this->strand),
+      tls(tls ? std::make_unique<tls_layer>(this->socket, std::move(tls)) : nullptr),
       handlers(std::move(handlers)), side(side), session(side, *this)
 {
 }
 
+tcp_link::~tcp_link() = default;
+
 std::shared_ptr<tcp_link> tcp_link::self()
 {
     return std::static_pointer_cast<tcp_link>(this->shared_from_this());
@@ -91,7 +71,7 @@
                        {
                            if (!code)
                            {
-                               link->begin_session();
+                               link->on_connected();
                            }
                            else if (!link->is_closed())
                            {
@@ -110,11 +90,11 @@
                [link = this->self()]
                {
                    link->start_timer(open_timeout, "peer did not open a link within 5 s");
-                   link->begin_session();
+                   link->on_connected();
                });
 }
 
-void tcp_link::begin_session()
+void tcp_link::on_connected()
 {
     if (this->is_closed())
     {
@@ -131,10 +111,36 @@
         this->fail({net_error::cannot_connect, "cannot set up the socket: " + code.message()});
         return;
     }
+    if (!this->tls)
+    {
+        this->begin_session();
+        return;
+    }
+    this->tls->stream.async_handshake(
+        this->side == link_side::connecting ? asio::ssl::stream_base::client
+                                            : asio::ssl::stream_base::server,
+        [link = this->self()](error_code code)
+        {
+            if (link->is_closed())
+            {
+                return;
+            }
+            if (code)
+            {
+                link->fail({is_tls_error(code) ? net_error::bad_certificate : net_error::closed,
+                            "TLS handshake: " + code.message()});
+                return;
+            }
+            link->begin_session();
+        });
+}
+
+void tcp_link::begin_session()
+{
     this->connected = true;
     this->lifecycle.apply(link_event::connected);
     this->flush();
-    this->wait_readable();
+    this->tls ? this->read_tls() : this->wait_readable();
 }
 
 void tcp_link::send(wire::link_message const& message)
@@ -284,136 +290,6 @@
     return {.size = size, .last = last};
 }
 
-void tcp_link::flush()
-{
-    auto const state = this->lifecycle.state();
-    if (this->writing || state == link_state::closed || !this->connected)
-    {
-        return;
-    }
-    if (!this->session.collect(this->write_buffer, write_bytes))
-    {
-        this->fail({net_error::protocol, "HTTP/2 session cannot continue"});
-        return;
-    }
-    if (this->write_buffer.empty() || this->output_shut)
-    {
-        // Replies of the framing layer after the end of the stream have no reader.
-        this->write_buffer.clear();
-        this->finish_if_drained();
-        return;
-    }
-    this->writing = true;
-    asio::async_write(this->socket, asio::buffer(this->write_buffer),
-                      [link = this->self()](error_code code, std::size_t size)
-                      {
-                          link->bytes_sent += size;
-                          link->write_done(code);
-                      });
-}
-
-void tcp_link::write_done(error_code code)
-{
-    this->writing = false;
-    this->write_buffer.clear();
-    if (this->is_closed())
-    {
-        return;
-    }
-    if (code)
-    {
-        this->fail(closed_error("cannot write: " + code.message()));
-        return;
-    }
-    {
-        std::scoped_lock const guard(this->lock);
-        this->unwritten = this->outgoing.size() - this->outgoing_taken;
-    }
-    this->flush();
-    if (!this->writing)
-    {
-        release_if_large(this->write_buffer);
-    }
-}
-
-void tcp_link::finish_if_drained()
-{
-    if (this->lifecycle.state() != link_state::draining || !this->session.has_ended_output())
-    {
-        return;
-    }
-    if (!std::exchange(this->output_shut, true))
-    {
-        error_code ignored;
-        this->socket.shutdown(tcp::socket::shutdown_send, ignored);
-    }
-    // Closing with unread input would reset the connection and could discard what the peer has not
-    // read yet, so the end of the peer's direction is awaited.
-    if (this->input_ended)
-    {
-        this->fail(closed_error("closed after both sides had sent everything"));
-    }
-}
-
-void tcp_link::wait_readable()
-{
-    this->socket.async_wait(tcp::socket::wait_read,
-                            [link = this->self()](error_code code)
-                            {
-                                if (!link->is_closed() && !code)
-                                {
-                                    link->read_available();
-                                }
-                            });
-}
-
-void tcp_link::read_available()
-{
-    thread_local std::vector<char> buffer(read_bytes);
-    for (int i = 0; i < max_reads_in_turn; ++i)
-    {
-        error_code code;
-        auto const size = this->socket.read_some(asio::buffer(buffer), code);
-        if (code == asio::error::would_block)
-        {
-            break;
-        }
-        if (code)
-        {
-            this->on_input_end(code);
-            return;
-        }
-        this->bytes_received += size;
-        if (auto fault = this->session.receive({buffer.data(), size}))
-        {
-            this->fail(std::move(*fault));
-            return;
-        }
-        if (size < buffer.size())
-        {
-            break;
-        }
-    }
-    this->flush();
-    if (!this->is_closed())
-    {
-        this->wait_readable();
-    }
-}
-
-void tcp_link::on_input_end(error_code code)
-{
-    if (code == asio::error::eof && this->peer_ended)
-    {
-        // The peer still reads; what is queued is sent first.
-        this->input_ended = true;
-        this->flush();
-        return;
-    }
-    this->fail(closed_error(code == asio::error::eof ? "peer ended the connection"
-                                                     : "cannot read: " + code.message()));
-}
-
 void tcp_link::start_timer(std::chrono::seconds limit, char const* detail)
 {
     this->timer.expires_after(limit);
@@ -429,7 +305,7 @@
 
 void tcp_link::send_reason(std::string_view reason)
 {
-    this->session.end_with(reason);
+    this->session.end_with(reason.substr(0, max_reason_bytes));
     std::string last;
     this->session.collect(last, write_bytes);
     error_code ignored;
@@ -450,7 +326,7 @@
     std::string().swap(this->outgoing);
     this->outgoing_taken = 0;
     bool const can_tell = error.code == net_error::protocol || error.code == net_error::too_large;
-    if (can_tell && !this->writing && this->connected)
+    if (can_tell && !this->writing && this->connected && !this->tls)
     {
         this->send_reason(error.detail);
     }
--- a/filbertroad/net/internal/tcp_link.hpp
+++ b/filbertroad/net/internal/tcp_link.hpp
@@ -16,6 +16,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
 #include <chrono>
+#include <memory>
 #include <mutex>
 
 namespace filbertroad::net::internal
@@ -33,7 +34,12 @@
     using strand_type = boost::asio::strand<boost::asio::io_context::executor_type>;
     using socket_type = boost::asio::basic_stream_socket<boost::asio::ip::tcp, strand_type>;
 
-    tcp_link(boost::asio::io_context& io, link_side side, link_handlers handlers);
+    /// The link uses TLS if `tls` is given.
+    tcp_link(boost::asio::io_context& io, link_side side, link_handlers handlers,
+             std::shared_ptr<tls_context const> tls);
+    ~tcp_link() override;
+    tcp_link(tcp_link const&) = delete;
+    tcp_link& operator=(tcp_link const&) = delete;
 
     /// Call one of these once.
     void start_connect(std::string_view address);
@@ -60,11 +66,15 @@
 
     std::shared_ptr<tcp_link> self();
     [[nodiscard]] bool is_closed() const;
+    void on_connected();
     void begin_session();
     void schedule_flush();
     void begin_draining();
     void wait_readable();
     void read_available();
+    void read_tls();
+    /// False after a fault, which has ended the link.
+    bool take_input(std::string_view bytes);
     void on_input_end(boost::system::error_code code);
     void flush();
     void write_done(boost::system::error_code code);
@@ -77,6 +87,9 @@
     strand_type strand;
     socket_type socket;
     timer_type timer;
+    /// TLS around the socket and its read buffer; absent without TLS.
+    struct tls_layer;
+    std::unique_ptr<tls_layer> tls;
 
     // Used on the strand only.
     link_lifecycle lifecycle;
--- /dev/null
+++ b/filbertroad/net/internal/tcp_link_io.cpp
@@ -0,0 +1,201 @@
+#include "filbertroad/net/internal/tcp_link_io.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <mutex>
+#include <vector>
+
+namespace filbertroad::net::internal
+{
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+/// Bytes read from the socket at once. The buffer belongs to the thread, so that idle links hold
+/// none.
+constexpr std::size_t read_bytes = 64UL * 1024;
+
+/// Reads in a row before other links of the thread get their turn.
+constexpr int max_reads_in_turn = 8;
+
+} // namespace
+
+void tcp_link::flush()
+{
+    auto const state = this->lifecycle.state();
+    if (this->writing || state == link_state::closed || !this->connected)
+    {
+        return;
+    }
+    if (!this->session.collect(this->write_buffer, write_bytes))
+    {
+        this->fail({net_error::protocol, "HTTP/2 session cannot continue"});
+        return;
+    }
+    if (this->write_buffer.empty() || this->output_shut)
+    {
+        // Replies of the framing layer after the end of the stream have no reader.
+        this->write_buffer.clear();
+        this->finish_if_drained();
+        return;
+    }
+    this->writing = true;
+    auto done = [link = this->self()](error_code code, std::size_t size)
+    {
+        link->bytes_sent += size;
+        link->write_done(code);
+    };
+    if (this->tls)
+    {
+        asio::async_write(this->tls->stream, asio::buffer(this->write_buffer), std::move(done));
+    }
+    else
+    {
+        asio::async_write(this->socket, asio::buffer(this->write_buffer), std::move(done));
+    }
+}
+
+void tcp_link::write_done(error_code code)
+{
+    this->writing = false;
+    this->write_buffer.clear();
+    if (this->is_closed())
+    {
+        return;
+    }
+    if (code)
+    {
+        this->fail(closed_error("cannot write: " + code.message()));
+        return;
+    }
+    {
+        std::scoped_lock const guard(this->lock);
+        this->unwritten = this->outgoing.size() - this->outgoing_taken;
+    }
+    this->flush();
+    if (!this->writing)
+    {
+        release_if_large(this->write_buffer);
+    }
+}
+
+void tcp_link::finish_if_drained()
+{
+    if (this->lifecycle.state() != link_state::draining || !this->session.has_ended_output())
+    {
+        return;
+    }
+    if (!std::exchange(this->output_shut, true))
+    {
+        error_code ignored;
+        this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    // Closing with unread input would reset the connection and could discard what the peer has not
+    // read yet, so the end of the peer's direction is awaited.
+    if (this->input_ended)
+    {
+        this->fail(closed_error("closed after both sides had sent everything"));
+    }
+}
+
+void tcp_link::wait_readable()
+{
+    this->socket.async_wait(tcp::socket::wait_read,
+                            [link = this->self()](error_code code)
+                            {
+                                if (!link->is_closed() && !code)
+                                {
+                                    link->read_available();
+                                }
+                            });
+}
+
+void tcp_link::read_available()
+{
+    thread_local std::vector<char> buffer(read_bytes);
+    for (int i = 0; i < max_reads_in_turn; ++i)
+    {
+        error_code code;
+        auto const size = this->socket.read_some(asio::buffer(buffer), code);
+        if (code == asio::error::would_block)
+        {
+            break;
+        }
+        if (code)
+        {
+            this->on_input_end(code);
+            return;
+        }
+        if (!this->take_input({buffer.data(), size}))
+        {
+            return;
+        }
+        if (size < buffer.size())
+        {
+            break;
+        }
+    }
+    this->flush();
+    if (!this->is_closed())
+    {
+        this->wait_readable();
+    }
+}
+
+void tcp_link::read_tls()
+{
+    this->tls->stream.async_read_some(asio::buffer(this->tls->buffer),
+                                      [link = this->self()](error_code code, std::size_t size)
+                                      {
+                                          if (link->is_closed())
+                                          {
+                                              return;
+                                          }
+                                          if (code)
+                                          {
+                                              link->on_input_end(code);
+                                              return;
+                                          }
+                                          if (!link->take_input({link->tls->buffer.data(), size}))
+                                          {
+                                              return;
+                                          }
+                                          link->flush();
+                                          if (!link->is_closed())
+                                          {
+                                              link->read_tls();
+                                          }
+                                      });
+}
+
+bool tcp_link::take_input(std::string_view bytes)
+{
+    this->bytes_received += bytes.size();
+    if (auto fault = this->session.receive(bytes))
+    {
+        this->fail(std::move(*fault));
+        return false;
+    }
+    return true;
+}
+
+void tcp_link::on_input_end(error_code code)
+{
+    // Without the closing message of TLS, the end of the stream still shows that nothing is
+    // missing.
+    bool const is_end = code == asio::error::eof || code == asio::ssl::error::stream_truncated;
+    if (is_end && this->peer_ended)
+    {
+        // The peer still reads; what is queued is sent first.
+        this->input_ended = true;
+        this->flush();
+        return;
+    }
+    this->fail(
+        closed_error(is_end ? "peer ended the connection" : "cannot read: " + code.message()));
+}
+
+} // namespace filbertroad::net::internal
--- a/filbertroad/net/link.cpp
+++ b/filbertroad/net/link.cpp
@@ -12,10 +12,10 @@
 namespace asio = boost::asio;
 
 std::shared_ptr<link> link::connect(asio::io_context& io, std::string_view address,
-                                    link_handlers handlers)
+                                    link_handlers handlers, std::shared_ptr<tls_context const> tls)
 {
     auto result = std::make_shared<internal::tcp_link>(io, internal::link_side::connecting,
-                                                       std::move(handlers));
+                                                       std::move(handlers), std::move(tls));
     result->start_connect(address);
     return result;
 }
@@ -30,8 +30,10 @@
 class tcp_link_server final : public link_server
 {
 public:
-    tcp_link_server(asio::io_context& io, internal::acceptor_type acceptor, link_handlers handlers)
-        : state(std::make_shared<listening>(io, std::move(acceptor), std::move(handlers)))
+    tcp_link_server(asio::io_context& io, internal::acceptor_type acceptor, link_handlers handlers,
+                    std::shared_ptr<tls_context const> tls)
+        : state(std::make_shared<listening>(io, std::move(acceptor), std::move(handlers),
+                                            std::move(tls)))
     {
         this->bound_port = this->state->acceptor.local_endpoint().port();
         listening::accept_next(this->state);
@@ -49,15 +51,17 @@
     /// Kept by the pending accept, so that the server may be destroyed at any time.
     struct listening
     {
-        listening(asio::io_context& io, internal::acceptor_type acceptor, link_handlers handlers)
-            : io(io), acceptor(std::move(acceptor)), pause(io), handlers(std::move(handlers))
+        listening(asio::io_context& io, internal::acceptor_type acceptor, link_handlers handlers,
+                  std::shared_ptr<tls_context const> tls)
+            : io(io), acceptor(std::move(acceptor)), pause(io), handlers(std::move(handlers)),
+              tls(std::move(tls))
         {
         }
 
         static void accept_next(std::shared_ptr<listening> const& self)
         {
             auto link = std::make_shared<internal::tcp_link>(
-                self->io, internal::link_side::accepting, self->handlers);
+                self->io, internal::link_side::accepting, self->handlers, self->tls);
             std::scoped_lock const guard(self->lock);
             if (self->stopped)
             {
@@ -99,6 +103,7 @@
         internal::acceptor_type acceptor;
         asio::steady_timer pause;
         link_handlers handlers;
+        std::shared_ptr<tls_context const> tls;
         bool stopped = false;
     };
 
@@ -109,11 +114,12 @@
 } // namespace
 
 base::result<std::unique_ptr<link_server>, base::error<net_error>>
-link_server::listen(asio::io_context& io, std::string_view address, link_handlers handlers)
+link_server::listen(asio::io_context& io, std::string_view address, link_handlers handlers,
+                    std::shared_ptr<tls_context const> tls)
 {
     BOOST_OUTCOME_TRY(auto acceptor, internal::open_acceptor(io, address));
-    return std::unique_ptr<link_server>(
-        std::make_unique<tcp_link_server>(io, std::move(acceptor), std::move(handlers)));
+    return std::unique_ptr<link_server>(std::make_unique<tcp_link_server>(
+        io, std::move(acceptor), std::move(handlers), std::move(tls)));
 }
 
 } // namespace filbertroad::net
--- a/filbertroad/net/link.hpp
+++ b/filbertroad/net/link.hpp
@@ -34,8 +34,12 @@
     protocol,
     closed,
     too_large,
+    bad_certificate,
 };
 
+/// Keys and checks of TLS (tls.hpp).
+class tls_context;
+
 class link;
 
 struct link_handlers
@@ -62,9 +66,11 @@
     /// Bytes that may wait to be sent; a link whose peer reads too slowly is closed beyond it.
     static constexpr std::size_t max_send_backlog = 64UL * 1024 * 1024;
 
-    /// Starts to connect to `address` (IP:PORT). The result is told through the handlers.
+    /// Starts to connect to `address` (IP:PORT), with TLS if `tls` is given. The result is told
+    /// through the handlers.
     static std::shared_ptr<link> connect(boost::asio::io_context& io, std::string_view address,
-                                         link_handlers handlers);
+                                         link_handlers handlers,
+                                         std::shared_ptr<tls_context const> tls = nullptr);
 
     virtual ~link() = default;
 
@@ -81,9 +87,10 @@
 class link_server
 {
 public:
-    /// Binds `address` (IP:PORT) at once.
+    /// Binds `address` (IP:PORT) at once. Links use TLS if `tls` is given.
     static base::result<std::unique_ptr<link_server>, base::error<net_error>>
-    listen(boost::asio::io_context& io, std::string_view address, link_handlers handlers);
+    listen(boost::asio::io_context& io, std::string_view address, link_handlers handlers,
+           std::shared_ptr<tls_context const> tls = nullptr);
 
     virtual ~link_server() = default;
     /// Port in use, for an address with port 0.
