--- /dev/null
+++ b/filbertroad/scheduling/internal/target_pool.cpp
@@ -0,0 +1,333 @@
+#include "filbertroad/scheduling/internal/target_pool.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace filbertroad::scheduling::internal
+{
+namespace
+{
+
+constexpr std::chrono::seconds utilisation_window{30};
+/// Targets whose slowness differs by less count as equally fast.
+constexpr double similar_speed = 1.25;
+
+bool meets(target_info const& target, placement_rule const& rule)
+{
+    auto const has = [](auto const& list, auto const& value)
+    { return std::find(list.begin(), list.end(), value) != list.end(); };
+    return (rule.zones.empty() || has(rule.zones, target.zone)) &&
+           std::all_of(rule.labels.begin(), rule.labels.end(),
+                       [&](auto const& label) { return has(target.labels, label); });
+}
+
+} // namespace
+
+target_pool::target_pool(std::uint64_t seed, std::chrono::milliseconds ramp_up)
+    : generator(seed), ramp_up(ramp_up)
+{
+}
+
+void target_pool::update(target_info const& info, base::steady_time now)
+{
+    auto& target = this->targets[this->find_or_add_closed(info.name)];
+    bool const is_new = !target.known || target.removed;
+    bool const grew = info.slots > target.info.slots;
+    target.info = info;
+    target.known = true;
+    target.removed = false;
+    target.usable = is_new || grew ? info.slots : std::min(target.usable, info.slots);
+    if (is_new)
+    {
+        target.open = true;
+        this->reset(target, now);
+    }
+    this->rebuild(now);
+}
+
+void target_pool::set_open(std::string_view name, bool open, base::steady_time now)
+{
+    auto const found = this->find(name);
+    if (!found || this->targets[*found].open == open)
+    {
+        return;
+    }
+    auto& target = this->targets[*found];
+    target.open = open;
+    if (open)
+    {
+        this->reset(target, now);
+    }
+    this->last_change = now;
+}
+
+void target_pool::remove(std::string_view name)
+{
+    if (auto const found = this->find(name))
+    {
+        this->targets[*found].removed = true;
+        this->targets[*found].limit = 0;
+        this->rebuild(this->last_change);
+    }
+}
+
+std::optional<std::uint32_t> target_pool::find(std::string_view name) const
+{
+    auto const found = std::find_if(this->targets.begin(), this->targets.end(),
+                                    [&](auto const& target) { return target.info.name == name; });
+    if (found == this->targets.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(found - this->targets.begin());
+}
+
+std::uint32_t target_pool::find_or_add_closed(std::string_view name)
+{
+    if (auto const found = this->find(name))
+    {
+        return *found;
+    }
+    auto const unused =
+        std::find_if(this->targets.begin(), this->targets.end(),
+                     [](auto const& target) { return target.removed && target.running == 0; });
+    auto const number = static_cast<std::uint32_t>(unused - this->targets.begin());
+    if (unused == this->targets.end())
+    {
+        this->targets.emplace_back();
+    }
+    this->targets[number] = target_record{};
+    this->targets[number].info.name = name;
+    return number;
+}
+
+std::uint32_t target_pool::placement(placement_rule const& rule)
+{
+    auto const found = std::find_if(this->placements.begin(), this->placements.end(),
+                                    [&](auto const& known) { return known.rule == rule; });
+    if (found != this->placements.end())
+    {
+        return static_cast<std::uint32_t>(found - this->placements.begin());
+    }
+    this->placements.push_back({rule, {}, this->last_change});
+    this->rebuild(this->last_change);
+    return static_cast<std::uint32_t>(this->placements.size() - 1);
+}
+
+bool target_pool::is_placeable(std::uint32_t placement) const
+{
+    return !this->placements[placement].targets.empty();
+}
+
+base::steady_time target_pool::unplaceable_since(std::uint32_t placement) const
+{
+    return this->placements[placement].unplaceable_since;
+}
+
+placement_rule const& target_pool::rule(std::uint32_t placement) const
+{
+    return this->placements[placement].rule;
+}
+
+std::uint32_t target_pool::route(std::string_view name)
+{
+    auto const found = std::find_if(this->routes.begin(), this->routes.end(),
+                                    [&](auto const& route) { return route.name == name; });
+    if (found != this->routes.end())
+    {
+        return static_cast<std::uint32_t>(found - this->routes.begin());
+    }
+    this->routes.push_back({std::string(name)});
+    return static_cast<std::uint32_t>(this->routes.size() - 1);
+}
+
+void target_pool::refresh(base::steady_time now)
+{
+    this->free = 0;
+    this->holds = 0;
+    this->slots = 0;
+    double used = 0;
+    double all = 0;
+    for (auto& target : this->targets)
+    {
+        // Until now the limits of the last refresh were in force.
+        auto const limit = std::max(target.limit, target.running);
+        used += target.running * target.speed;
+        all += limit * target.speed;
+        target.limit = this->limit_of(target, now);
+        this->free += target.has_room() ? target.limit - target.running : 0;
+        this->holds += target.limit == target.info.slots ? target.info.held_starts : 0;
+        this->slots += target.limit;
+    }
+    auto const step = std::chrono::duration<double>(now - this->last_refresh) / utilisation_window;
+    this->mean_utilisation +=
+        all > 0 ? (used / all - this->mean_utilisation) * std::min(1.0, step) : 0;
+    this->last_refresh = now;
+}
+
+std::optional<std::uint32_t> target_pool::fastest_free(std::uint32_t placement) const
+{
+    std::uint32_t best = no_target;
+    double best_cost = std::numeric_limits<double>::max();
+    for (auto const number : this->placements[placement].targets)
+    {
+        auto const& target = this->targets[number];
+        if (!target.has_room())
+        {
+            continue;
+        }
+        // Among equally fast targets the least loaded one keeps the probability of a local
+        // slowdown low.
+        auto const load = static_cast<double>(target.running) / target.limit;
+        auto const cost = target.slowness * (1 + load * (similar_speed - 1));
+        if (cost < best_cost ||
+            (cost == best_cost && target.last_start < this->targets[best].last_start))
+        {
+            best = number;
+            best_cost = cost;
+        }
+    }
+    return best == no_target ? std::nullopt : std::optional(best);
+}
+
+std::optional<std::uint32_t> target_pool::fastest_to_hold(std::uint32_t placement) const
+{
+    std::optional<std::uint32_t> best;
+    for (auto const number : this->placements[placement].targets)
+    {
+        auto const& target = this->targets[number];
+        if (target.may_hold() && (!best || target.slowness < this->targets[*best].slowness))
+        {
+            best = number;
+        }
+    }
+    return best;
+}
+
+faster_targets target_pool::faster_than(std::uint32_t placement, std::uint32_t than) const
+{
+    auto const slowness = this->targets[than].slowness;
+    faster_targets faster;
+    double slots = 0;
+    double sum = 0;
+    for (auto const number : this->placements[placement].targets)
+    {
+        auto const& target = this->targets[number];
+        if (target.limit > 0 && !target.has_room() && target.slowness * similar_speed < slowness)
+        {
+            faster.rate += target.running * target.speed;
+            slots += target.running;
+            sum += target.running * target.slowness;
+        }
+    }
+    faster.slowness = slots > 0 ? sum / slots : 1;
+    return faster;
+}
+
+void target_pool::started(std::uint32_t target)
+{
+    auto& record = this->targets[target];
+    this->free -= record.has_room() ? 1 : 0;
+    ++record.running;
+    record.last_start = ++this->starts;
+}
+
+void target_pool::stopped(std::uint32_t target)
+{
+    auto& record = this->targets[target];
+    record.running -= record.running > 0 ? 1 : 0;
+    this->free += record.has_room() ? 1 : 0;
+}
+
+double target_pool::tasks_per_second(std::uint32_t placement) const
+{
+    double rate = 0;
+    for (auto const number : this->placements[placement].targets)
+    {
+        auto const& target = this->targets[number];
+        if (target.open && target.health.state() == health_state::in_service)
+        {
+            rate += target.usable * target.speed;
+        }
+    }
+    return rate / this->all_routes.mean();
+}
+
+double target_pool::jitter()
+{
+    // The top 53 bits give the same value with every standard library.
+    return static_cast<double>(this->generator() >> 11U) * 0x1p-53;
+}
+
+std::string const& target_pool::name(std::uint32_t target) const
+{
+    return this->targets[target].info.name;
+}
+
+std::vector<target_view> target_pool::views() const
+{
+    std::vector<target_view> views;
+    for (auto const& target : this->targets)
+    {
+        if (target.removed && target.running == 0)
+        {
+            continue;
+        }
+        auto const open = target.known && target.open && !target.removed;
+        views.push_back({target.info.name, target.info.zone,
+                         open ? std::string(to_string(target.health.state())) : "closed",
+                         target.info.slots, target.running, target.slowness});
+    }
+    return views;
+}
+
+void target_pool::rebuild(base::steady_time now)
+{
+    this->last_change = std::max(this->last_change, now);
+    for (auto& placement : this->placements)
+    {
+        bool const was_empty = placement.targets.empty();
+        placement.targets.clear();
+        for (std::uint32_t number = 0; number < this->targets.size(); ++number)
+        {
+            auto const& target = this->targets[number];
+            if (target.known && !target.removed && meets(target.info, placement.rule))
+            {
+                placement.targets.push_back(number);
+            }
+        }
+        if (placement.targets.empty() && !was_empty)
+        {
+            placement.unplaceable_since = this->last_change;
+        }
+    }
+}
+
+std::uint32_t target_pool::limit_of(target_record& target, base::steady_time now)
+{
+    if (!target.known || !target.open || target.removed || now < target.hold_until)
+    {
+        return 0;
+    }
+    target.health.advance(now);
+    if (target.health.state() != health_state::in_service)
+    {
+        return target.health.state() == health_state::probing ? 1 : 0;
+    }
+    if (target.usable < target.info.slots && now >= target.next_raise)
+    {
+        ++target.usable;
+        target.next_raise = now + raise_interval;
+    }
+    auto const ramped = now - target.ramp_start;
+    if (ramped >= this->ramp_up)
+    {
+        return target.usable;
+    }
+    auto const share = std::chrono::duration<double>(ramped) / this->ramp_up;
+    auto const slots = 1 + static_cast<std::uint32_t>(target.info.slots * share);
+    return std::min(target.usable, slots);
+}
+
+} // namespace filbertroad::scheduling::internal
