Link the roles unconditionally and print job lines of the history as such

Cause: the processes of both roles are in main. A trial of every command on a running system showed index for lines about the whole job, long speeds, and the state of the job after `job ack`.

--- a/filbertroad/api/http_api_test.cpp
+++ b/filbertroad/api/http_api_test.cpp
@@ -46,6 +46,7 @@
     binary.set_body("\xff\xfe");
     job.add_results()->set_body("é");
     job.add_history()->set_event("queued");
+    job.add_history()->set_index(0xffffffffU);
     auto const response = this->send({"GET", std::string(job_path) + "/explain"});
     EXPECT_EQ(response.status, 200U);
     EXPECT_TRUE(this->service.last_query.with_history());
@@ -56,7 +57,10 @@
     EXPECT_EQ(results[0].at("outcome").as_string(), "may_have_run");
     EXPECT_EQ(results[0].at("body_base64").as_string(), "//4=");
     EXPECT_EQ(results[1].at("body").as_string(), "é");
-    EXPECT_EQ(body.at("history").as_array()[0].at("event").as_string(), "queued");
+    auto const& history = body.at("history").as_array();
+    EXPECT_EQ(history[0].at("event").as_string(), "queued");
+    EXPECT_EQ(history[0].at("index").as_int64(), 0);
+    EXPECT_TRUE(history[1].at("index").is_null());
 }
 
 // Guards against an uncertain refusal of the owner that becomes a certain one on the way.
--- a/filbertroad/api/internal/report_json.cpp
+++ b/filbertroad/api/internal/report_json.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/monotonic_resource.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <limits>
 #include <openssl/evp.h>
 #include <string_view>
 
@@ -16,6 +17,9 @@
 
 namespace json = boost::json;
 
+/// Index in a line of the history that is about the job and not about one task.
+constexpr std::uint32_t whole_job = std::numeric_limits<std::uint32_t>::max();
+
 std::string_view state_name(wire::job_state state)
 {
     switch (state)
@@ -86,7 +90,11 @@
 json::object history_json(wire::explain_line const& line, json::storage_ptr const& memory)
 {
     json::object out(memory);
-    out["index"] = line.index();
+    out["index"] = nullptr;
+    if (line.index() != whole_job)
+    {
+        out["index"] = line.index();
+    }
     out["unix_ms"] = line.unix_ms();
     out["event"] = line.event();
     out["target"] = line.target();
--- a/filbertroad/cli/internal/answers.cpp
+++ b/filbertroad/cli/internal/answers.cpp
@@ -3,7 +3,9 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_to.hpp>
+#include <iomanip>
 #include <optional>
+#include <sstream>
 
 namespace filbertroad::cli::internal
 {
@@ -23,6 +25,16 @@
     return value->is_string() ? json::value_to<std::string>(*value) : json::serialize(*value);
 }
 
+/// Member `name`, a number, with two decimals.
+std::string fixed(json::value const& from, std::string_view name)
+{
+    auto const* const value = from.is_object() ? from.get_object().if_contains(name) : nullptr;
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(2)
+        << (value != nullptr && value->is_number() ? value->to_number<double>() : 0);
+    return out.str();
+}
+
 /// Member `name` as an array; empty if there is none.
 json::array items(json::value const& from, std::string_view name)
 {
@@ -84,8 +96,10 @@
 {
     for (auto const& line : items(job, "history"))
     {
-        out << text(line, "unix_ms") << "\t" << text(line, "index") << "\t" << text(line, "event")
-            << "\t" << text(line, "target") << "\t" << text(line, "reason") << "\n";
+        auto const index = text(line, "index");
+        out << text(line, "unix_ms") << "\t" << (index == "null" ? "job" : index) << "\t"
+            << text(line, "event") << "\t" << text(line, "target") << "\t" << text(line, "reason")
+            << "\n";
     }
 }
 
@@ -129,7 +143,7 @@
     {
         out << "  target " << text(target, "name") << " zone " << text(target, "zone") << " "
             << text(target, "health") << " " << text(target, "running") << "/"
-            << text(target, "slots") << " slots, speed " << text(target, "speed") << "\n";
+            << text(target, "slots") << " slots, speed " << fixed(target, "speed") << "\n";
     }
 }
 
@@ -172,6 +186,10 @@
     {
         outside.out << result.value().body << "\n";
     }
+    else if (is_acknowledgement)
+    {
+        outside.out << text(job, "key") << ": acknowledged\n";
+    }
     else
     {
         print_summary(job, outside.out);
--- a/filbertroad/cli/internal/process_commands.cpp
+++ b/filbertroad/cli/internal/process_commands.cpp
@@ -37,7 +37,7 @@
 
 /// Runs the process of a role with the settings that the arguments name.
 template <class Settings>
-[[maybe_unused]] int run_role(invocation const& call, int (*run)(Settings const&))
+int run_role(invocation const& call, int (*run)(Settings const&))
 {
     auto const loaded = load_settings(call);
     if (!loaded)
@@ -52,19 +52,15 @@
     return exit_usage;
 }
 
-#ifdef FILBERTROAD_HAS_ENTRY
 int entry(invocation const& call)
 {
     return run_role<settings::entry_settings>(call, server::run_entry);
 }
-#endif
 
-#ifdef FILBERTROAD_HAS_AGENT
 int agent(invocation const& call)
 {
     return run_role<settings::agent_settings>(call, server::run_agent);
 }
-#endif
 
 int check(invocation const& call)
 {
@@ -107,12 +103,8 @@
 }
 
 constexpr std::array commands{
-#ifdef FILBERTROAD_HAS_ENTRY
     command{"entry", "Runs an entry until SIGTERM.", entry},
-#endif
-#ifdef FILBERTROAD_HAS_AGENT
     command{"agent", "Runs an agent until SIGTERM.", agent},
-#endif
     command{"check", "Checks a settings file, or prints the settings or events.", check},
     command{"version", "Prints the version.", version},
 };
