End commands in their time and print checks as JSON

Its optional positional argument made TCLAP refuse every later one in the same process, so that tests depended on their order.

Change: an answer after the time is final; entries are all asked only while there is no answer. The positional argument of `check` is required or absent.

Conclusion: scripts can rely on the time limit of a command.

--- a/filbertroad/cli/command_line_test.cpp
+++ b/filbertroad/cli/command_line_test.cpp
@@ -112,6 +112,16 @@
     EXPECT_GE(this->addresses.size(), 2U);
 }
 
+// Guards against a command that asks on for long after its time because entries are many.
+TEST_F(command_line_test, answer_after_the_time_is_final)
+{
+    auto const busy =
+        R"({"error":{"code":"c","detail":"d"},"not_run":"unknown","retry_after_ms":9})";
+    this->answers.emplace_back(answer(503, busy));
+    EXPECT_EQ(this->run_with({"status", "--timeout-ms", "5"}), exit_refused);
+    EXPECT_EQ(this->requests.size(), 1U);
+}
+
 // Guards against a change that is made twice because its repeat has another id.
 TEST_F(command_line_test, zone_change_keeps_its_id_when_it_is_repeated)
 {
@@ -190,6 +200,11 @@
     std::ofstream(path) << "role = \"agent\"\ncolour = 1\n";
     EXPECT_EQ(this->run_with({"check", path}, false), exit_usage);
     EXPECT_EQ(this->err.str(), path + ":2: colour: unknown key\n");
+    EXPECT_EQ(this->run_with({"check", path, "--json"}, false), exit_usage);
+    EXPECT_EQ(this->out.str(), R"({"file":")" + path +
+                                   R"(","valid":false,"line":2,"key":"colour",)"
+                                   R"("reason":"unknown key"})"
+                                   "\n");
     std::remove(path.c_str());
 }
 
--- a/filbertroad/cli/entry_client.cpp
+++ b/filbertroad/cli/entry_client.cpp
@@ -70,8 +70,9 @@
             pause = attempt % this->entries.size() == 0 ? round_pause : pause;
         }
         this->current = (this->current + 1) % this->entries.size();
-        bool const all_tried = attempt >= this->entries.size();
-        if (all_tried && this->world.clock->steady_now() + pause >= deadline)
+        // Each entry is asked at least once before the client gives up without any answer.
+        bool const may_end = last_answer || attempt >= this->entries.size();
+        if (may_end && this->world.clock->steady_now() + pause >= deadline)
         {
             break;
         }
--- a/filbertroad/cli/internal/process_commands.cpp
+++ b/filbertroad/cli/internal/process_commands.cpp
@@ -4,7 +4,10 @@
 #include "filbertroad/telemetry/event_log.hpp"
 #include "filbertroad/telemetry/events.hpp"
 
+#include <algorithm>
 #include <array>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 
 namespace filbertroad::cli::internal
 {
@@ -62,25 +65,51 @@
     return run_role<settings::agent_settings>(call, server::run_agent);
 }
 
+/// Prints the result of `check` for programs.
+void print_check_json(std::string const& file, settings::settings_fault const* fault,
+                      std::ostream& out)
+{
+    boost::json::object result{{"file", file}, {"valid", fault == nullptr}};
+    if (fault != nullptr)
+    {
+        result["line"] = fault->line;
+        result["key"] = fault->key;
+        result["reason"] = fault->reason;
+    }
+    out << boost::json::serialize(result) << "\n";
+}
+
 int check(invocation const& call)
 {
     argument_parser parser(call);
-    TCLAP::UnlabeledValueArg<std::string> file("file", "settings file", false, "", "FILE",
-                                               parser.line());
+    // Required or absent, since TCLAP takes no positional argument in a process after an optional
+    // one.
+    TCLAP::UnlabeledValueArg<std::string> file("file", "settings file; not with --list or --events",
+                                               true, "", "FILE");
+    auto const& words = call.arguments;
+    bool const prints_page =
+        std::any_of(words.begin(), words.end(),
+                    [](std::string const& word) { return word == "--list" || word == "--events"; });
+    if (!prints_page)
+    {
+        parser.line().add(file);
+    }
     TCLAP::SwitchArg list("", "list", "print the page of all settings", parser.line());
     TCLAP::SwitchArg events("", "events", "print the page of all log events", parser.line());
+    TCLAP::SwitchArg json("", "json", "print the result as JSON", parser.line());
     parser.parse();
-    if (list.getValue() || events.getValue())
+    if (prints_page)
     {
         call.outside.out << (list.getValue() ? settings::settings_page()
                                              : telemetry::events_page());
         return exit_ok;
     }
-    if (!file.isSet())
+    auto const loaded = settings::load(file.getValue());
+    if (json.getValue())
     {
-        throw TCLAP::CmdLineParseException("is required without --list and --events", "FILE");
+        print_check_json(file.getValue(), loaded ? nullptr : &loaded.error(), call.outside.out);
+        return loaded ? exit_ok : exit_usage;
     }
-    auto const loaded = settings::load(file.getValue());
     if (!loaded)
     {
         call.outside.err << settings::to_string(loaded.error()) << "\n";
