Tell agents the version of the part of the state that they have

Cause: agents are told of views, zones and targets only, but the pong named the version of the whole state. After a change of a table or of the registered agents an agent took its own state for old and refused every start after 2 s; in the system tests four of ten hung with all starts refused not_confirmed. Ruled out: the scheduler (no slot in use, nothing blocked), a deadlock (both threads idle in gdb). Change: control_state::agent_version is the offset of the last change of the view, a zone or a target; agent_state and the pong to agents carry it. Before/after: test a_change_of_a_table_leaves_the_version_of_agents_unchanged fails before.

--- a/filbertroad/control/control_queries.cpp
+++ b/filbertroad/control/control_queries.cpp
@@ -362,10 +362,23 @@
     return found;
 }
 
+std::uint64_t control_state::agent_version() const
+{
+    auto newest = this->view_offset;
+    for (auto const* const states : {&this->zone_states, &this->target_states})
+    {
+        for (auto const& [name, state] : *states)
+        {
+            newest = std::max<std::uint64_t>(newest, state.version());
+        }
+    }
+    return newest;
+}
+
 wire::agent_state control_state::agent_state() const
 {
     wire::agent_state state;
-    state.set_offset(this->version_offset);
+    state.set_offset(this->agent_version());
     state.set_view(this->view_offset);
     state.mutable_members()->Assign(this->member_list.begin(), this->member_list.end());
     for (auto const& [name, zone] : this->zone_states)
--- a/filbertroad/control/control_state.hpp
+++ b/filbertroad/control/control_state.hpp
@@ -129,7 +129,10 @@
     /// Writer's time of the newest snapshot record that matched the state; empty if none was read.
     [[nodiscard]] std::optional<base::system_time> newest_snapshot() const;
 
-    /// The part that agents need.
+    /// Offset of the last record that changed what agents need: the view, or a zone or target. It
+    /// is lower than version() after a change of a table, which agents are not told.
+    [[nodiscard]] std::uint64_t agent_version() const;
+    /// The part that agents need; its offset is agent_version().
     [[nodiscard]] wire::agent_state agent_state() const;
 
 private:
--- a/filbertroad/control/control_state_test.cpp
+++ b/filbertroad/control/control_state_test.cpp
@@ -383,6 +383,23 @@
     EXPECT_GT(moved, 0U);
 }
 
+// Guards against agents that refuse every start because a change of a table, which they are not
+// told, makes their state look old.
+TEST(control_state, a_change_of_a_table_leaves_the_version_of_agents_unchanged)
+{
+    log_model log;
+    log.append(make_joined("a", 1));
+    auto const version = log.state.agent_version();
+    wire::control_record record;
+    record.mutable_table()->mutable_routes();
+    ASSERT_EQ(log.append(record).outcome, apply_outcome::accepted);
+    EXPECT_EQ(log.state.agent_version(), version);
+    EXPECT_EQ(log.state.agent_state().offset(), version);
+    record.mutable_zone()->set_name("khi-b");
+    ASSERT_EQ(log.append(record).outcome, apply_outcome::accepted);
+    EXPECT_EQ(log.state.agent_version(), log.state.version());
+}
+
 // Guards against a recovery that does not ask an agent which may hold a ledger.
 TEST(control_state, removed_agents_are_remembered_for_recoveries)
 {
--- a/filbertroad/server/control_controller.cpp
+++ b/filbertroad/server/control_controller.cpp
@@ -377,6 +377,13 @@
     return pong;
 }
 
+wire::pong control_controller::agent_pong() const
+{
+    auto pong = this->pong();
+    pong.set_state_offset(this->state()->agent_version());
+    return pong;
+}
+
 wire::probe_reply control_controller::probe_reply() const
 {
     std::lock_guard const guard(this->shared_lock);
--- a/filbertroad/server/control_controller.hpp
+++ b/filbertroad/server/control_controller.hpp
@@ -85,6 +85,8 @@
     /// Whether this process may act on its state now.
     [[nodiscard]] bool is_confirmed() const;
     [[nodiscard]] wire::pong pong() const;
+    /// The same with the offset of the part of the state that agents have.
+    [[nodiscard]] wire::pong agent_pong() const;
     /// The answer to a peer's probe.
     [[nodiscard]] wire::probe_reply probe_reply() const;
     [[nodiscard]] control::confirmation_source source() const;
