Follow refused tasks to the agent that holds them; halve the memory of a key

The new owner ignored the second ledger's claim and could start the task again after the refusal. Keys also took 590 bytes (acknowledged) and 1,300 bytes (one kept answer) of heap, above the estimate that bounds the memory.

Change: the new owner keeps the second claim and moves the task there when the first agent refuses it; results of adopted tasks count from any agent that reports them; a refused adopted task is not sent while a ledger is in doubt. The table stores jobs in the nodes of its map, expiries without a copy of the key, and ended jobs drop what only starts need. The estimates of memory follow the measured sizes.

--- a/filbertroad/submission/agents.cpp
+++ b/filbertroad/submission/agents.cpp
@@ -124,7 +124,8 @@
     }
     auto const& held = owner->content->tasks[task.index()];
     auto const at_agent = internal::is_at_agent(held.state);
-    if (at_agent && held.agent != &agent)
+    // The earlier owner may have sent an adopted task to another agent after the first refused it.
+    if (at_agent && held.agent != &agent && !held.adopted)
     {
         return;
     }
@@ -189,6 +190,10 @@
     {
         this->adopt(agent, *owner, task.index(), view);
     }
+    else if (held.adopted && internal::is_at_agent(held.state) && held.agent != &agent && view != 0)
+    {
+        this->second_claims[{held.number, task.index()}] = {agent.id, view};
+    }
     else if (held.agent == &agent &&
              this->apply(*owner, task.index(), internal::task_event::observed_running))
     {
@@ -238,7 +243,7 @@
     for (auto const& [id, found_by] : tasks)
     {
         auto* const owner = this->jobs.find_number(id.job);
-        if (found_by != view || owner == nullptr || mentioned.contains({owner->id, id.index}))
+        if (found_by != view || owner == nullptr || mentioned.contains({owner->id(), id.index}))
         {
             continue;
         }
--- a/filbertroad/submission/handover.cpp
+++ b/filbertroad/submission/handover.cpp
@@ -64,8 +64,8 @@
         bytes += held->bytes;
         *out.add_jobs() = state.report(*held, false);
         auto& request = *out.add_requests();
-        request.set_route(held->id.route);
-        request.set_key(held->id.key);
+        request.set_route(held->id().route);
+        request.set_key(held->id().key);
         request.set_team(state.jobs.name_of(held->team));
         request.set_digest(held->digest);
         request.set_repeatable(held->content && held->content->repeatable);
--- a/filbertroad/submission/inquiries.cpp
+++ b/filbertroad/submission/inquiries.cpp
@@ -174,7 +174,7 @@
         else if (this->is_serving() &&
                  this->now - known->content->interrupted_at >= this->options.recovery_wait)
         {
-            this->open_inquiry(known->id, known->created).ends_job = true;
+            this->open_inquiry(known->id(), known->created).ends_job = true;
         }
     }
 }
--- a/filbertroad/submission/internal/job.hpp
+++ b/filbertroad/submission/internal/job.hpp
@@ -109,7 +109,8 @@
 
 struct job
 {
-    model::job_id id;
+    /// Owned by the table.
+    model::job_id const* identity = nullptr;
     std::string digest;
     base::system_time created;
     base::system_time ended_at;
@@ -128,6 +129,7 @@
     /// Starts of an earlier owner, perhaps with another body, may have been lost with a ledger.
     bool in_doubt = false;
 
+    [[nodiscard]] model::job_id const& id() const { return *this->identity; }
     [[nodiscard]] bool has_ended() const { return this->ended_tasks == this->task_count; }
 };
 
--- a/filbertroad/submission/internal/job_table.cpp
+++ b/filbertroad/submission/internal/job_table.cpp
@@ -9,27 +9,32 @@
 job& job_table::add(model::job_id id, base::system_time created, std::string digest,
                     std::uint32_t task_count, std::string_view team)
 {
-    auto added = std::make_unique<job>();
-    added->id = std::move(id);
-    added->created = created;
-    added->digest = std::move(digest);
-    added->task_count = task_count;
-    added->serial = ++this->last_serial;
-    added->team = this->number_of_name(team);
-    added->content = std::make_unique<job_content>();
-    added->content->tasks.resize(task_count);
-    added->content->queued_tasks = task_count;
-    auto& place = this->jobs[added->id];
-    place = std::move(added);
-    this->open.emplace(place->serial, place.get());
-    this->hold(*place, bytes_per_job + task_count * bytes_per_task);
-    return *place;
+    auto const place = this->jobs.try_emplace(std::move(id)).first;
+    auto& added = place->second;
+    added.identity = &place->first;
+    added.created = created;
+    added.digest = std::move(digest);
+    added.task_count = task_count;
+    added.serial = ++this->last_serial;
+    added.team = this->number_of_name(team);
+    added.content = std::make_unique<job_content>();
+    added.content->tasks.resize(task_count);
+    added.content->queued_tasks = task_count;
+    this->open.emplace(added.serial, &added);
+    this->hold(added, bytes_per_job + bytes_per_content + task_count * bytes_per_task);
+    return added;
 }
 
-job* job_table::find(model::job_id const& id) const
+job* job_table::find(model::job_id const& id)
 {
     auto const found = this->jobs.find(id);
-    return found == this->jobs.end() ? nullptr : found->second.get();
+    return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+job const* job_table::find(model::job_id const& id) const
+{
+    auto const found = this->jobs.find(id);
+    return found == this->jobs.end() ? nullptr : &found->second;
 }
 
 job* job_table::find_number(std::uint64_t number) const
@@ -38,13 +43,13 @@
     return found == this->numbers.end() ? nullptr : found->second;
 }
 
-std::vector<job*> job_table::in_order() const
+std::vector<job*> job_table::in_order()
 {
     std::vector<job*> ordered;
     ordered.reserve(this->jobs.size());
-    for (auto const& [id, held] : this->jobs)
+    for (auto& [id, held] : this->jobs)
     {
-        ordered.push_back(held.get());
+        ordered.push_back(&held);
     }
     std::sort(ordered.begin(), ordered.end(),
               [](job const* a, job const* b) { return a->serial < b->serial; });
@@ -76,7 +81,7 @@
     ended.ended_at = at;
     ended.forget_at = forget_at;
     this->open.erase(ended.serial);
-    this->expiries.emplace(drop_at, ended.id);
+    this->expiries.push({drop_at, ended.serial, &ended});
     for (auto const number : ended.content->numbers)
     {
         this->numbers.erase(number);
@@ -101,30 +106,26 @@
             this->numbers.erase(number);
         }
     }
-    this->jobs.erase(model::job_id(removed.id));
+    this->jobs.erase(this->jobs.find(removed.id()));
 }
 
 void job_table::expire(base::system_time wall)
 {
-    while (!this->expiries.empty() && this->expiries.begin()->first <= wall)
+    while (!this->expiries.empty() && this->expiries.top().at <= wall)
     {
-        auto id = std::move(this->expiries.begin()->second);
-        this->expiries.erase(this->expiries.begin());
-        auto* const found = this->find(id);
-        if (found == nullptr || !found->has_ended())
-        {
-            continue;
-        }
-        if (found->forget_at <= wall)
+        auto next = this->expiries.top();
+        this->expiries.pop();
+        if (next.ended->forget_at <= wall)
         {
-            this->remove(*found);
+            this->remove(*next.ended);
             continue;
         }
-        if (found->content)
+        if (next.ended->content)
         {
-            this->forget_answers(*found);
+            this->forget_answers(*next.ended);
         }
-        this->expiries.emplace(found->forget_at, std::move(id));
+        next.at = next.ended->forget_at;
+        this->expiries.push(next);
     }
 }
 
--- a/filbertroad/submission/internal/job_table.hpp
+++ b/filbertroad/submission/internal/job_table.hpp
@@ -11,17 +11,23 @@
 #include "filbertroad/submission/internal/job.hpp"
 
 #include <map>
+#include <queue>
 #include <string_view>
 #include <unordered_map>
 
 namespace filbertroad::submission::internal
 {
 
-/// Memory of a known key besides its payloads and answers, in bytes: the table nodes, the digest
-/// and the strings of the identity.
-inline constexpr std::size_t bytes_per_job = 320;
+// Estimates of memory in bytes from shard_owner_benchmark (hold_keys), so that the bound of the
+// bytes held is a bound of the heap.
 
-/// Memory of a task besides its payload and answer, in bytes: the task, its answer and its history.
+/// A known key: the nodes of the tables, the digest and the strings of the identity.
+inline constexpr std::size_t bytes_per_job = 340;
+
+/// The content of a job whose answers were not acknowledged.
+inline constexpr std::size_t bytes_per_content = 360;
+
+/// A task besides its payload and the body of its answer.
 inline constexpr std::size_t bytes_per_task = 320;
 
 class job_table
@@ -30,13 +36,14 @@
     /// Adds a job with content and `task_count` queued tasks. The identity must not be known.
     job& add(model::job_id id, base::system_time created, std::string digest,
              std::uint32_t task_count, std::string_view team);
-    [[nodiscard]] job* find(model::job_id const& id) const;
+    [[nodiscard]] job* find(model::job_id const& id);
+    [[nodiscard]] job const* find(model::job_id const& id) const;
     /// The job that a number of the scheduler refers to; null if it was forgotten.
     [[nodiscard]] job* find_number(std::uint64_t number) const;
     /// Jobs that have not ended, by serial.
     [[nodiscard]] std::map<std::uint64_t, job*> const& open_jobs() const { return this->open; }
     /// Every job by serial.
-    [[nodiscard]] std::vector<job*> in_order() const;
+    [[nodiscard]] std::vector<job*> in_order();
 
     /// A new number of `owner` for the scheduler.
     std::uint64_t add_number(job& owner);
@@ -61,10 +68,24 @@
     [[nodiscard]] std::string const& name_of(std::uint32_t number) const;
 
 private:
-    std::unordered_map<model::job_id, std::unique_ptr<job>> jobs;
+    /// When an ended job drops its answers or is forgotten; each ended job has one.
+    struct expiry
+    {
+        base::system_time at;
+        std::uint64_t serial = 0;
+        job* ended = nullptr;
+
+        friend bool operator<(expiry const& a, expiry const& b)
+        {
+            return a.at != b.at ? a.at > b.at : a.serial > b.serial;
+        }
+    };
+
+    // The nodes of the map stay in place, so that jobs are referred to by address.
+    std::unordered_map<model::job_id, job> jobs;
     std::unordered_map<std::uint64_t, job*> numbers;
     std::map<std::uint64_t, job*> open;
-    std::multimap<base::system_time, model::job_id> expiries;
+    std::priority_queue<expiry> expiries;
     /// Number 0 is the empty name, for history lines without a target.
     std::map<std::string, std::uint32_t, std::less<>> name_numbers{{"", 0}};
     std::vector<std::string> names{""};
--- a/filbertroad/submission/internal/owner_state.hpp
+++ b/filbertroad/submission/internal/owner_state.hpp
@@ -26,6 +26,13 @@
 namespace filbertroad::submission
 {
 
+/// The ledger of `agent`, reported for the fence of `view`, holds a task.
+struct ledger_claim
+{
+    model::process_id agent;
+    std::uint64_t view = 0;
+};
+
 struct shard_owner::state
 {
     state(model::process_id self, std::string service, std::uint32_t shard, owner_options options,
@@ -36,6 +43,8 @@
     void advance(base::steady_time now, base::system_time wall);
     [[nodiscard]] base::system_time wall() const;
     void set_ownership(ownership const& current);
+    /// The next owner asks for the ledgers itself.
+    void forget_ledgers();
     void update_agents();
     void tick();
     void reject_expired();
@@ -110,6 +119,9 @@
     /// A start that did not reach the target: the task is queued again.
     void queue_again(internal::job& owner, std::uint32_t index, internal::task_event event,
                      scheduling::start_refusal reason);
+    /// Moves a refused adopted task to the other agent whose ledger holds it, if there is one.
+    bool adopt_second_claim(internal::job& owner, std::uint32_t index,
+                            scheduling::task_id const& refused);
     void lose(internal::agent_record& agent, std::string_view reason);
     void cancel_queued(internal::job& owner);
     void end_interrupted(internal::job& ended);
@@ -171,6 +183,9 @@
     std::size_t inquiry_bytes = 0;
     /// Unsubmitted jobs that are known from ledgers, by serial.
     std::map<std::uint64_t, internal::job*> ledger_jobs;
+    /// Adopted tasks that the ledger of another agent holds too: one of the agents refused the
+    /// start and the earlier owner sent it to the other one. By names in the scheduler.
+    std::map<scheduling::task_id, ledger_claim> second_claims;
     std::set<std::string, std::less<>> targets_out;
     base::steady_time adopted_asked_at;
     base::steady_time ledger_jobs_checked_at;
--- a/filbertroad/submission/internal/test_agent.hpp
+++ b/filbertroad/submission/internal/test_agent.hpp
@@ -111,7 +111,9 @@
         hello.mutable_target()->set_reachable(true);
         for (auto const& [name, held] : this->ledger)
         {
-            if (held.receiver == entry && !held.acknowledged)
+            auto const is_receiver =
+                held.receiver == entry || wire::to_model(held.entry.owner()) == entry;
+            if (is_receiver && !held.acknowledged_by.contains(entry))
             {
                 *hello.add_open() = held.entry;
             }
@@ -152,14 +154,14 @@
         }
     }
 
-    void acknowledge(wire::finished_ack const& ack)
+    void acknowledge(model::process_id const& from, wire::finished_ack const& ack)
     {
         for (auto const& task : ack.tasks())
         {
             auto const found = this->ledger.find(target_log::name(task));
             if (found != this->ledger.end() && found->second.entry.has_result())
             {
-                found->second.acknowledged = true;
+                found->second.acknowledged_by.insert(from);
             }
         }
     }
@@ -243,7 +245,7 @@
         model::process_id receiver;
         std::int64_t next = 0;
         bool started = false;
-        bool acknowledged = false;
+        std::set<model::process_id> acknowledged_by;
     };
 
     [[nodiscard]] wire::refusal gate(model::process_id const& from, std::int64_t now) const
--- a/filbertroad/submission/internal/test_cluster.cpp
+++ b/filbertroad/submission/internal/test_cluster.cpp
@@ -339,8 +339,8 @@
     else if (auto const* const ack = std::get_if<send_finished_ack>(&next))
     {
         this->send_to_agent(process, ack->agent,
-                            [message = ack->ack](test_agent& agent)
-                            { agent.acknowledge(message); });
+                            [from = process.id, message = ack->ack](test_agent& agent)
+                            { agent.acknowledge(from, message); });
     }
     else if (auto const* const fence = std::get_if<send_fence>(&next))
     {
--- a/filbertroad/submission/ownership.cpp
+++ b/filbertroad/submission/ownership.cpp
@@ -92,12 +92,7 @@
     this->update_agents();
     if (owns(before) && !owns(current))
     {
-        this->fences.ownership_lost();
-        auto const unowned = std::exchange(this->ledger_jobs, {});
-        for (auto const& [serial, known] : unowned)
-        {
-            this->remove_job(*known);
-        }
+        this->forget_ledgers();
     }
     if (!owns(current) || this->removed)
     {
@@ -121,6 +116,16 @@
     this->settle_inquiries();
 }
 
+void shard_owner::state::forget_ledgers()
+{
+    this->fences.ownership_lost();
+    auto const unowned = std::exchange(this->ledger_jobs, {});
+    for (auto const& [serial, known] : unowned)
+    {
+        this->remove_job(*known);
+    }
+}
+
 void shard_owner::state::update_agents()
 {
     this->agents.set_registered(this->owned.agents, this->owned.former_agents, this->now);
@@ -217,7 +222,7 @@
     sent.agent = &agent;
     agent.tasks[id] = 0;
     send_start start{.agent = agent.id, .start = {}};
-    *start.start.mutable_task() = wire::make_task_ref(owner.id, id.index);
+    *start.start.mutable_task() = wire::make_task_ref(owner.id(), id.index);
     start.start.set_payload(sent.payload);
     start.start.set_job_digest(owner.digest);
     start.start.set_task_count(owner.task_count);
--- a/filbertroad/submission/queries.cpp
+++ b/filbertroad/submission/queries.cpp
@@ -140,7 +140,7 @@
     }
     known.content->waiting.push_back(number);
     this->waiting.add(number,
-                      {known.id, this->now + std::chrono::milliseconds(wait_ms), with_history});
+                      {known.id(), this->now + std::chrono::milliseconds(wait_ms), with_history});
 }
 
 void shard_owner::state::answer_report(std::uint64_t number, internal::job const& known,
@@ -170,7 +170,7 @@
         if (internal::is_at_agent(held.state) && held.agent->linked)
         {
             send_cancel request{.agent = held.agent->id, .cancel = {}};
-            *request.cancel.mutable_task() = wire::make_task_ref(cancelled.id, i);
+            *request.cancel.mutable_task() = wire::make_task_ref(cancelled.id(), i);
             this->out.add(std::move(request));
         }
     }
--- a/filbertroad/submission/report.cpp
+++ b/filbertroad/submission/report.cpp
@@ -73,8 +73,8 @@
 wire::job_report shard_owner::state::report(internal::job const& reported, bool with_history) const
 {
     wire::job_report out;
-    out.set_route(reported.id.route);
-    out.set_key(reported.id.key);
+    out.set_route(reported.id().route);
+    out.set_key(reported.id().key);
     out.set_state(state_of(reported));
     out.set_task_count(reported.task_count);
     out.set_finished(reported.ended_tasks);
@@ -102,7 +102,7 @@
     {
         auto const& answer = *tasks[i].answer;
         auto& result = *out.add_results();
-        *result.mutable_task() = wire::make_task_ref(reported.id, i);
+        *result.mutable_task() = wire::make_task_ref(reported.id(), i);
         result.set_outcome(answer.outcome);
         result.set_body(answer.body);
         result.set_reason(answer.reason);
--- a/filbertroad/submission/requests.cpp
+++ b/filbertroad/submission/requests.cpp
@@ -132,7 +132,7 @@
     }
     else if (!cleared && known.content->cleared_view != this->owned.view)
     {
-        this->inquire(number, known.id, known.created, call);
+        this->inquire(number, known.id(), known.created, call);
     }
     else
     {
@@ -143,7 +143,8 @@
 bool shard_owner::state::has_room_for(std::size_t bytes, std::uint32_t tasks) const
 {
     auto const answers = (this->open_tasks + tasks) * this->mean_answer;
-    auto const tables = internal::bytes_per_job + tasks * internal::bytes_per_task;
+    auto const tables =
+        internal::bytes_per_job + internal::bytes_per_content + tasks * internal::bytes_per_task;
     return this->jobs.held_bytes() + this->inquiry_bytes + bytes + tables + answers <=
            this->options.max_bytes;
 }
--- a/filbertroad/submission/shard_owner_test.cpp
+++ b/filbertroad/submission/shard_owner_test.cpp
@@ -190,10 +190,16 @@
     }
 
     void report_ledger(std::vector<wire::ledger_entry> const& entries)
+    {
+        this->report_ledger(this->agent, entries);
+    }
+
+    void report_ledger(model::process_id const& from,
+                       std::vector<wire::ledger_entry> const& entries)
     {
         wire::ledger_report report;
         report.set_view(this->owned.view);
-        *report.mutable_agent() = wire::to_wire(this->agent);
+        *report.mutable_agent() = wire::to_wire(from);
         report.mutable_entries()->Add(entries.begin(), entries.end());
         report.set_last(true);
         this->owner.ledger_reported(report, this->clock.steady_now(), this->clock.system_now());
@@ -418,6 +424,25 @@
     EXPECT_EQ(starts[0].start.task().index(), 2U);
 }
 
+// Guards against a second start of a task that an agent refused after its ledger was read, and that
+// the removed owner had sent to another agent before that agent's ledger was read.
+TEST_F(shard_owner_test, leaves_a_refused_task_with_the_other_agent_that_holds_it)
+{
+    auto const key = this->key("k");
+    model::process_id const other{"a2", 1};
+    this->add_agent(other.name, other.incarnation);
+    this->owner.agent_linked(hello(other.name, other.incarnation), this->clock.steady_now());
+    this->remove_dead();
+    this->report_ledger({this->entry(key, 0, false)});
+    this->report_ledger(other, {this->entry(key, 0, false)});
+    this->refuse(this->agent, wire::make_task_ref({"r", key}, 0), wire::refusal_target_refused);
+    this->pass(seconds(2));
+    this->submit(request(key, 3));
+    EXPECT_EQ(this->take<send_start>().size(), 2U) << "only the tasks that no agent holds";
+    this->finish(other, wire::make_task_ref({"r", key}, 0));
+    EXPECT_EQ(this->state_of(key).finished(), 1U);
+}
+
 // Guards against a false "not run" by an owner that was replaced while it was paused.
 TEST_F(shard_owner_test, makes_no_claim_that_tasks_did_not_run_while_unconfirmed)
 {
--- a/filbertroad/submission/tasks.cpp
+++ b/filbertroad/submission/tasks.cpp
@@ -91,7 +91,7 @@
     auto& content = *owner.content;
     scheduling::job_entry entry{.job = this->jobs.add_number(owner),
                                 .team = this->jobs.name_of(owner.team),
-                                .route = owner.id.route,
+                                .route = owner.id().route,
                                 .placement = content.placement,
                                 .tasks = indexes,
                                 .bytes = 0,
@@ -114,6 +114,7 @@
         return false;
     }
     auto& ended = owner.content->tasks[index];
+    this->second_claims.erase({ended.number, index});
     if (ended.agent != nullptr)
     {
         ended.agent->tasks.erase({ended.number, index});
@@ -168,6 +169,11 @@
                          std::to_string(first - content.tasks.begin()) + ": " +
                          first->answer->reason;
     }
+    // Most held jobs have ended, so they keep only what an answer needs.
+    content.traceparent = {};
+    content.needs = {};
+    content.placement = {};
+    content.history.shrink_to_fit();
     this->ledger_jobs.erase(ended.serial);
     auto const wall = this->wall();
     // Other owners may accept the key until it is too old by their clocks.
@@ -205,10 +211,20 @@
         // The scheduler does not know the job of a task that it adopted.
         this->queue.task_finished(id, scheduling::finish::cancelled, {}, this->now);
         held.adopted = false;
+        if (this->adopt_second_claim(owner, index, id))
+        {
+            return;
+        }
         if (!content.submitted)
         {
             this->apply(owner, index, internal::task_event::interrupted);
         }
+        else if (this->fences.is_in_doubt(owner.created, this->agents))
+        {
+            this->apply(owner, index, internal::task_event::interrupted);
+            this->end_interrupted(owner);
+            return;
+        }
         else if (auto const admitted = this->admit(owner, {index}); !admitted)
         {
             this->settle(owner, index, internal::task_event::rejected, wire::outcome_not_run,
@@ -222,6 +238,28 @@
     }
 }
 
+bool shard_owner::state::adopt_second_claim(internal::job& owner, std::uint32_t index,
+                                            scheduling::task_id const& refused)
+{
+    auto const found = this->second_claims.find(refused);
+    if (found == this->second_claims.end())
+    {
+        return false;
+    }
+    auto const claim = found->second;
+    this->second_claims.erase(found);
+    this->apply(owner, index, internal::task_event::interrupted);
+    auto* const agent = this->agents.find(claim.agent);
+    if (agent == nullptr || agent->replaced)
+    {
+        this->settle(owner, index, internal::task_event::lost, wire::outcome_may_have_run,
+                     "the agent was restarted while the task was there");
+        return true;
+    }
+    this->adopt(*agent, owner, index, claim.view);
+    return true;
+}
+
 void shard_owner::state::cancel_queued(internal::job& owner)
 {
     auto const numbers = owner.content->numbers;
@@ -283,6 +321,7 @@
             if (held.agent != nullptr)
             {
                 held.agent->tasks.erase({held.number, i});
+                this->second_claims.erase({held.number, i});
                 this->queue.task_finished({held.number, i}, scheduling::finish::cancelled, {},
                                           this->now);
             }
