Remove the target of an agent that is no longer registered

Cause: a target whose agent was taken off the log stayed in the scheduler, closed. A job that only this target could run waited instead of failing within unplaceable_timeout. A leaving owner that is still the owner of its view could take over interrupted jobs from a late ledger report.

Change: the target is removed from the scheduler with the registration, and on a change of its name; a leaving owner takes no job from ledgers.

--- a/filbertroad/submission/agents.cpp
+++ b/filbertroad/submission/agents.cpp
@@ -59,11 +59,18 @@
 
 void shard_owner::state::announce_target(internal::agent_record& agent)
 {
-    if (!agent.registered || !agent.linked || agent.replaced || agent.target.name().empty())
+    if (!agent.registered && agent.announced && !agent.replaced)
+    {
+        // Jobs that only this target could run are rejected, not left waiting.
+        agent.announced = false;
+        this->queue.remove_target(agent.target.name(), this->now);
+    }
+    if (!agent.may_start() || agent.target.name().empty())
     {
         this->refresh_target(agent);
         return;
     }
+    agent.announced = true;
     scheduling::target_info info{
         .name = agent.target.name(),
         .zone = agent.zone,
@@ -151,7 +158,7 @@
         return known;
     }
     auto const key = model::parse_key(id.key);
-    if (!key || !this->is_of_this_shard(id.key) || !this->owned.is_owner ||
+    if (!key || !this->is_of_this_shard(id.key) || !this->owned.is_owner || this->owned.leaving ||
         entry.task_count() == 0 || entry.task_count() > model::max_tasks)
     {
         return nullptr;
--- a/filbertroad/submission/internal/agent_table.hpp
+++ b/filbertroad/submission/internal/agent_table.hpp
@@ -36,6 +36,8 @@
     bool linked = false;
     /// A newer incarnation of the name is known.
     bool replaced = false;
+    /// The scheduler knows the target by this agent.
+    bool announced = false;
     /// When the link was lost; a new agent counts as silent since it became known.
     base::steady_time silent_since;
     wire::target_description target;
--- a/filbertroad/submission/shard_owner.cpp
+++ b/filbertroad/submission/shard_owner.cpp
@@ -120,6 +120,11 @@
     {
         return;
     }
+    if (found->announced && found->target.name() != target.name())
+    {
+        found->announced = false;
+        state.queue.remove_target(found->target.name(), state.now);
+    }
     state.agents.set_target(*found, target);
     state.announce_target(*found);
 }
--- a/filbertroad/submission/shard_owner_test.cpp
+++ b/filbertroad/submission/shard_owner_test.cpp
@@ -301,6 +301,17 @@
     EXPECT_EQ(starts[0].agent.name, "a2");
 }
 
+// Guards against jobs that wait for a target whose agent is no longer registered.
+TEST_F(shard_owner_test, rejects_tasks_when_the_only_agent_is_no_longer_registered)
+{
+    this->owned.former_agents = {this->agent};
+    this->apply_ownership();
+    auto const key = this->key("k");
+    this->submit(request(key, 1));
+    this->pass(seconds(6));
+    EXPECT_EQ(this->state_of(key).results(0).outcome(), wire::outcome_not_run);
+}
+
 // Guards against a start that is sent again although the agent has it, and one that is forgotten.
 TEST_F(shard_owner_test, settles_sent_tasks_by_the_next_hello)
 {
