--- /dev/null
+++ b/filbertroad/cli/internal/process_commands.cpp
@@ -0,0 +1,148 @@
+#include "filbertroad/cli/internal/parsing.hpp"
+#include "filbertroad/server/run.hpp"
+#include "filbertroad/settings/settings.hpp"
+#include "filbertroad/telemetry/event_log.hpp"
+#include "filbertroad/telemetry/events.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace filbertroad::cli::internal
+{
+namespace
+{
+
+/// Reads the settings file that the arguments name; a fault is written as an event.
+base::result<settings::any_settings, int> load_settings(invocation const& call)
+{
+    argument_parser parser(call);
+    TCLAP::UnlabeledValueArg<std::string> file("file", "settings file; see docs/settings.md", true,
+                                               "", "FILE", parser.line());
+    parser.parse();
+    auto loaded = settings::load(file.getValue());
+    if (loaded)
+    {
+        return std::move(loaded).value();
+    }
+    auto const& fault = loaded.error();
+    if (auto const log = telemetry::open_event_log("-", "filbertroad"))
+    {
+        log.value()->write(telemetry::events::settings_rejected,
+                           {{"file", fault.file},
+                            {"line", std::to_string(fault.line)},
+                            {"key", fault.key},
+                            {"reason", fault.reason}});
+    }
+    return int{exit_usage};
+}
+
+/// Runs the process of a role with the settings that the arguments name.
+template <class Settings>
+int run_role(invocation const& call, int (*run)(Settings const&))
+{
+    auto const loaded = load_settings(call);
+    if (!loaded)
+    {
+        return loaded.error();
+    }
+    if (auto const* const settings = std::get_if<Settings>(&loaded.value()))
+    {
+        return run(*settings);
+    }
+    call.outside.err << "the settings file is for another role than " << call.name << "\n";
+    return exit_usage;
+}
+
+int entry(invocation const& call)
+{
+    return run_role<settings::entry_settings>(call, server::run_entry);
+}
+
+int agent(invocation const& call)
+{
+    return run_role<settings::agent_settings>(call, server::run_agent);
+}
+
+/// Prints the result of `check` for programs.
+void print_check_json(std::string const& file, settings::settings_fault const* fault,
+                      std::ostream& out)
+{
+    boost::json::object result{{"file", file}, {"valid", fault == nullptr}};
+    if (fault != nullptr)
+    {
+        result["line"] = fault->line;
+        result["key"] = fault->key;
+        result["reason"] = fault->reason;
+    }
+    out << boost::json::serialize(result) << "\n";
+}
+
+int check(invocation const& call)
+{
+    argument_parser parser(call);
+    // Required or absent, since TCLAP takes no positional argument in a process after an optional
+    // one.
+    TCLAP::UnlabeledValueArg<std::string> file("file", "settings file; not with --list or --events",
+                                               true, "", "FILE");
+    auto const& words = call.arguments;
+    bool const prints_page =
+        std::any_of(words.begin(), words.end(),
+                    [](std::string const& word) { return word == "--list" || word == "--events"; });
+    if (!prints_page)
+    {
+        parser.line().add(file);
+    }
+    TCLAP::SwitchArg list("", "list", "print the page of all settings", parser.line());
+    TCLAP::SwitchArg events("", "events", "print the page of all log events", parser.line());
+    TCLAP::SwitchArg json("", "json", "print the result as JSON", parser.line());
+    parser.parse();
+    if (prints_page)
+    {
+        call.outside.out << (list.getValue() ? settings::settings_page()
+                                             : telemetry::events_page());
+        return exit_ok;
+    }
+    auto const loaded = settings::load(file.getValue());
+    if (json.getValue())
+    {
+        print_check_json(file.getValue(), loaded ? nullptr : &loaded.error(), call.outside.out);
+        return loaded ? exit_ok : exit_usage;
+    }
+    if (!loaded)
+    {
+        call.outside.err << settings::to_string(loaded.error()) << "\n";
+        return exit_usage;
+    }
+    bool const is_entry = std::holds_alternative<settings::entry_settings>(loaded.value());
+    call.outside.out << file.getValue() << ": valid settings of the role "
+                     << (is_entry ? "entry" : "agent") << "\n";
+    return exit_ok;
+}
+
+int version(invocation const& call)
+{
+    argument_parser parser(call);
+    TCLAP::SwitchArg json("", "json", "print as JSON", parser.line());
+    parser.parse();
+    call.outside.out << (json.getValue() ? "{\"version\":\"" FILBERTROAD_VERSION "\"}\n"
+                                         : "filbertroad " FILBERTROAD_VERSION "\n");
+    return exit_ok;
+}
+
+constexpr std::array commands{
+    command{"entry", "Runs an entry until SIGTERM.", entry},
+    command{"agent", "Runs an agent until SIGTERM.", agent},
+    command{"check", "Checks a settings file, or prints the settings or events.", check},
+    command{"version", "Prints the version.", version},
+};
+
+} // namespace
+
+std::span<command const> process_commands()
+{
+    return commands;
+}
+
+} // namespace filbertroad::cli::internal
--- a/filbertroad/net/http.hpp
+++ b/filbertroad/net/http.hpp
@@ -32,13 +32,13 @@
 
 struct http_request
 {
-    std::string method;
+    std::string method{};
     /// Path without the query.
-    std::string path;
+    std::string path{};
     /// Query without the question mark.
-    std::string query;
-    std::vector<http_header> headers;
-    std::string body;
+    std::string query{};
+    std::vector<http_header> headers{};
+    std::string body{};
 
     /// Value of a header, compared without case; empty if absent.
     [[nodiscard]] std::string_view header(std::string_view name) const;
@@ -46,12 +46,23 @@
     [[nodiscard]] std::string query_value(std::string_view name) const;
 };
 
+/// Faults of a server that stand-ins imitate; other servers leave it at none.
+enum class answer_fault
+{
+    none,
+    /// The connection is closed instead of an answer.
+    no_answer,
+    /// The connection is closed before the end of the body.
+    cut_body,
+};
+
 struct http_response
 {
     unsigned status = 200;
-    std::vector<http_header> headers;
+    std::vector<http_header> headers{};
     std::string content_type = "application/json";
-    std::string body;
+    std::string body{};
+    answer_fault fault = answer_fault::none;
 
     [[nodiscard]] std::string_view header(std::string_view name) const;
 };
@@ -65,6 +76,9 @@
     std::chrono::milliseconds read_timeout{10'000};
     /// Time that a kept connection may stay idle.
     std::chrono::milliseconds idle_timeout{60'000};
+    /// Time after stop() in which kept connections still take requests. Their answers close them,
+    /// so that few connections are closed while a request is on the way.
+    std::chrono::milliseconds stop_grace{1'000};
 };
 
 /// Sends the answer; may be called from any thread, once. A responder that is dropped without a
@@ -78,10 +92,10 @@
 class http_server
 {
 public:
-    /// Binds `address` (IP:PORT) at once.
+    /// Binds `address` (IP:PORT) at once. Connections use TLS if `tls` is given.
     static base::result<std::unique_ptr<http_server>, base::error<net_error>>
     listen(boost::asio::io_context& io, std::string_view address, http_limits limits,
-           http_handler handler);
+           http_handler handler, std::shared_ptr<tls_context const> tls = nullptr);
 
     virtual ~http_server() = default;
     [[nodiscard]] virtual std::uint16_t port() const = 0;
@@ -102,11 +116,14 @@
 using http_result = base::result<http_response, http_failure>;
 
 /// Keeps up to `max_connections` connections to one server. Requests beyond that wait. A request is
-/// never sent twice. Safe for several threads; handlers are called on the io_context.
+/// never sent twice. Safe for several threads; handlers are called on the io_context. Requests that
+/// are open when the client is destroyed are abandoned, and their handlers are not called.
 class http_client
 {
 public:
-    http_client(boost::asio::io_context& io, std::string_view address, std::size_t max_connections);
+    /// Connections use TLS if `tls` is given.
+    http_client(boost::asio::io_context& io, std::string_view address, std::size_t max_connections,
+                std::shared_ptr<tls_context const> tls = nullptr);
     ~http_client();
     http_client(http_client const&) = delete;
     http_client& operator=(http_client const&) = delete;
@@ -123,7 +140,8 @@
 
 /// Sends one request on a new connection and waits for the answer; for command line tools.
 [[nodiscard]] http_result send_and_wait(std::string_view address, http_request request,
-                                        std::chrono::milliseconds timeout);
+                                        std::chrono::milliseconds timeout,
+                                        std::shared_ptr<tls_context const> tls = nullptr);
 
 } // namespace filbertroad::net
 
--- a/filbertroad/scheduling/internal/scheduler_state.hpp
+++ b/filbertroad/scheduling/internal/scheduler_state.hpp
@@ -49,8 +49,19 @@
     {
     }
 
+    [[nodiscard]] internal::team_record* find_team(std::string_view name);
     /// Record of a team, created when it is new; its address is stable.
     internal::team_record& team(std::string_view name);
+    /// Fills in which parts of the queue are kept for `team` and for the other teams.
+    void add_reserves(internal::team_record const& team,
+                      internal::admission_request& request) const;
+    /// Number of a placement rule; a new rule may replace one that no job uses.
+    [[nodiscard]] std::uint32_t placement(placement_rule const& rule);
+    /// What the admission has to know about a job that would join a lane.
+    [[nodiscard]] internal::admission_request
+    make_request(job_entry const& job, internal::lane const& lane, base::steady_time now);
+    /// Tasks per second that a lane can expect to start: its share by weight, within its quota.
+    [[nodiscard]] double tasks_per_second(internal::lane const& lane) const;
     /// Takes a running task off its target, team and job; nothing when it is unknown.
     std::optional<running_task> stop(task_id const& task);
     /// The lane that starts the next task, among lanes whose team is within its quota and whose
@@ -59,6 +70,17 @@
 
     void advance(base::steady_time now) { this->last_time = std::max(this->last_time, now); }
 
+    /// The job of the lane that uses a free slot of the target, or null when each would better wait
+    /// for a faster target.
+    [[nodiscard]] internal::job_record* job_for(internal::lane& lane, std::uint32_t target);
+    /// Whether the queue is so long that a held start costs its task no time.
+    [[nodiscard]] bool may_hold() const
+    {
+        return this->targets.free_holds() > 0 &&
+               this->jobs.queued_tasks() > this->targets.open_slots();
+    }
+    void assign(internal::job_record& job, std::uint32_t target, std::vector<assignment>& out);
+
     internal::target_pool targets;
     internal::job_store jobs;
     std::vector<std::unique_ptr<internal::team_record>> teams;
@@ -70,6 +92,7 @@
     /// Time of the latest call; ages are reported as of it.
     base::steady_time last_time{};
     std::uint64_t assignments = 0;
+    std::uint64_t dispatches = 0;
     /// Placements that found no target in this dispatch.
     std::vector<char> blocked;
 };
--- a/filbertroad/scheduling/internal/target_pool.cpp
+++ b/filbertroad/scheduling/internal/target_pool.cpp
@@ -9,26 +9,9 @@
 namespace
 {
 
-/// Run times of one route differ by a factor of 20, so that fewer samples than this give an
-/// unsteady order of targets.
-constexpr double max_speed_samples = 64;
-/// Weight of the assumption that a target is as fast as the others, in samples.
-constexpr double prior_samples = 2;
-constexpr double max_route_samples = 512;
-constexpr double run_time_weight = 1.0 / 256;
-constexpr double failure_weight = 1.0 / 8;
-/// A target is ejected only after this many results, above this rate, and when it fails this many
-/// times more often than the others.
-constexpr std::uint32_t min_results = 5;
-constexpr double min_failure_rate = 0.4;
-constexpr double min_failure_ratio = 3;
-/// From this many failures in a row on, starts are held back: a target that fails at once would
-/// otherwise take most of the queue before its failure rate is known.
-constexpr std::uint32_t failures_before_hold = 3;
-constexpr std::chrono::milliseconds first_hold{50};
-constexpr std::uint32_t max_hold_doublings = 5;
-/// Time after which a limit that was lowered by a refusal rises by one slot.
-constexpr std::chrono::milliseconds raise_interval{500};
+/// Routes whose run times are remembered.
+constexpr std::uint32_t max_routes = 1024;
+constexpr std::chrono::seconds utilisation_window{30};
 /// Targets whose slowness differs by less count as equally fast.
 constexpr double similar_speed = 1.25;
 
@@ -121,17 +104,25 @@
     return number;
 }
 
-std::uint32_t target_pool::placement(placement_rule const& rule)
+std::optional<std::uint32_t> target_pool::find_placement(placement_rule const& rule) const
 {
     auto const found = std::find_if(this->placements.begin(), this->placements.end(),
                                     [&](auto const& known) { return known.rule == rule; });
-    if (found != this->placements.end())
+    if (found == this->placements.end())
     {
-        return static_cast<std::uint32_t>(found - this->placements.begin());
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(found - this->placements.begin());
+}
+
+void target_pool::set_placement(std::uint32_t number, placement_rule const& rule)
+{
+    if (number == this->placements.size())
+    {
+        this->placements.emplace_back();
     }
-    this->placements.push_back({rule, {}, this->last_change});
+    this->placements[number] = {rule, {}, this->last_change};
     this->rebuild(this->last_change);
-    return static_cast<std::uint32_t>(this->placements.size() - 1);
 }
 
 bool target_pool::is_placeable(std::uint32_t placement) const
@@ -157,6 +148,13 @@
     {
         return static_cast<std::uint32_t>(found - this->routes.begin());
     }
+    if (this->routes.size() == max_routes)
+    {
+        // A job that still names the replaced route learns for the new one; that only adds noise.
+        this->next_route = (this->next_route + 1) % max_routes;
+        this->routes[this->next_route] = {std::string(name)};
+        return this->next_route;
+    }
     this->routes.push_back({std::string(name)});
     return static_cast<std::uint32_t>(this->routes.size() - 1);
 }
@@ -164,20 +162,32 @@
 void target_pool::refresh(base::steady_time now)
 {
     this->free = 0;
+    this->holds = 0;
+    this->slots = 0;
+    double used = 0;
+    double all = 0;
     for (auto& target : this->targets)
     {
+        // Until now the limits of the last refresh were in force.
+        auto const limit = std::max(target.limit, target.running);
+        used += target.running * target.speed;
+        all += limit * target.speed;
         target.limit = this->limit_of(target, now);
         this->free += target.has_room() ? target.limit - target.running : 0;
+        this->holds += target.limit == target.info.slots ? target.info.held_starts : 0;
+        this->slots += target.limit;
     }
+    auto const step = std::chrono::duration<double>(now - this->last_refresh) / utilisation_window;
+    this->mean_utilisation +=
+        all > 0 ? (used / all - this->mean_utilisation) * std::min(1.0, step) : 0;
+    this->last_refresh = now;
 }
 
-std::optional<std::uint32_t> target_pool::choose(std::uint32_t placement,
-                                                 std::uint32_t waiting) const
+std::optional<std::uint32_t> target_pool::fastest_free(std::uint32_t placement) const
 {
-    auto const& candidates = this->placements[placement].targets;
     std::uint32_t best = no_target;
     double best_cost = std::numeric_limits<double>::max();
-    for (auto const number : candidates)
+    for (auto const number : this->placements[placement].targets)
     {
         auto const& target = this->targets[number];
         if (!target.has_room())
@@ -195,28 +205,41 @@
             best_cost = cost;
         }
     }
-    if (best == no_target)
+    return best == no_target ? std::nullopt : std::optional(best);
+}
+
+std::optional<std::uint32_t> target_pool::fastest_to_hold(std::uint32_t placement) const
+{
+    std::optional<std::uint32_t> best;
+    for (auto const number : this->placements[placement].targets)
     {
-        return std::nullopt;
+        auto const& target = this->targets[number];
+        if (target.may_hold() && (!best || target.slowness < this->targets[*best].slowness))
+        {
+            best = number;
+        }
     }
-    double const slowness = this->targets[best].slowness;
-    double faster_rate = 0;
-    double faster_slowness = 0;
-    for (auto const number : candidates)
+    return best;
+}
+
+faster_targets target_pool::faster_than(std::uint32_t placement, std::uint32_t than) const
+{
+    auto const slowness = this->targets[than].slowness;
+    faster_targets faster;
+    double slots = 0;
+    double sum = 0;
+    for (auto const number : this->placements[placement].targets)
     {
         auto const& target = this->targets[number];
         if (target.limit > 0 && !target.has_room() && target.slowness * similar_speed < slowness)
         {
-            faster_rate += target.running / target.slowness;
-            faster_slowness = std::max(faster_slowness, target.slowness);
+            faster.rate += target.running * target.speed;
+            slots += target.running;
+            sum += target.running * target.slowness;
         }
     }
-    // In units of the mean run time: all waiting tasks are served by the faster targets first.
-    if (faster_rate > 0 && waiting / faster_rate + faster_slowness < slowness)
-    {
-        return std::nullopt;
-    }
-    return best;
+    faster.slowness = slots > 0 ? sum / slots : 1;
+    return faster;
 }
 
 void target_pool::started(std::uint32_t target)
@@ -234,85 +257,6 @@
     this->free += record.has_room() ? 1 : 0;
 }
 
-void target_pool::succeeded(std::uint32_t number, std::uint32_t route,
-                            std::chrono::microseconds run_time, base::steady_time now)
-{
-    auto& target = this->targets[number];
-    target.failures_in_row = 0;
-    target.refusals_in_row = 0;
-    target.failure_rate -= target.failure_rate * failure_weight;
-    ++target.results;
-    if (target.health.task_succeeded())
-    {
-        this->reset(target, now);
-    }
-    auto const seconds = std::max(1e-6, static_cast<double>(run_time.count()) * 1e-6);
-    auto const log_time = std::log(seconds);
-    auto& known = this->routes[route];
-    auto const learn = [](double& value, std::uint32_t& samples, double limit, double sample)
-    {
-        samples += samples < limit ? 1 : 0;
-        value += (sample - value) / samples;
-    };
-    if (target.samples > 0 || known.samples == 0)
-    {
-        learn(known.log_run_time, known.samples, max_route_samples, log_time - target.log_slowness);
-    }
-    learn(target.log_slowness, target.samples, max_speed_samples, log_time - known.log_run_time);
-    this->mean_run_time += (seconds / target.slowness - this->mean_run_time) * run_time_weight;
-    this->update_slowness();
-}
-
-void target_pool::failed(std::uint32_t number, job_evidence const& evidence, base::steady_time now)
-{
-    auto& target = this->targets[number];
-    if (evidence.failed_elsewhere && !evidence.succeeded_elsewhere)
-    {
-        // The job itself is the more likely cause.
-        return;
-    }
-    if (target.failures_in_row == 0)
-    {
-        target.first_failed_job = evidence.job;
-        target.several_jobs_failed = false;
-    }
-    target.several_jobs_failed |= target.first_failed_job != evidence.job;
-    ++target.failures_in_row;
-    ++target.results;
-    target.failure_rate += (1 - target.failure_rate) * failure_weight;
-    bool const target_is_the_cause = target.several_jobs_failed || evidence.succeeded_elsewhere;
-    bool const worse = target.failure_rate >= min_failure_rate && target.results >= min_results &&
-                       target.failure_rate >= min_failure_ratio * failure_rate_of_others(number);
-    if (!this->may_take_out(number, now))
-    {
-        return;
-    }
-    if (target.health.state() == health_state::probing || (worse && target_is_the_cause))
-    {
-        target.health.eject(now, this->jitter());
-    }
-    else if (target.failures_in_row >= failures_before_hold)
-    {
-        this->hold(target, target.failures_in_row - failures_before_hold, now);
-    }
-}
-
-void target_pool::refused(std::uint32_t number, start_refusal reason, base::steady_time now)
-{
-    auto& target = this->targets[number];
-    if (reason == start_refusal::no_slot)
-    {
-        target.usable = std::max(1U, std::min(target.usable, target.running));
-        target.next_raise = now + raise_interval;
-        if (target.running > 0)
-        {
-            return;
-        }
-    }
-    this->hold(target, target.refusals_in_row, now);
-    ++target.refusals_in_row;
-}
-
 double target_pool::tasks_per_second(std::uint32_t placement) const
 {
     double rate = 0;
@@ -321,10 +265,10 @@
         auto const& target = this->targets[number];
         if (target.open && target.health.state() == health_state::in_service)
         {
-            rate += target.usable / target.slowness;
+            rate += target.usable * target.speed;
         }
     }
-    return rate / this->mean_run_time;
+    return rate / this->all_routes.mean();
 }
 
 double target_pool::jitter()
@@ -377,27 +321,6 @@
     }
 }
 
-void target_pool::update_slowness()
-{
-    double sum = 0;
-    double count = 0;
-    for (auto const& target : this->targets)
-    {
-        if (target.samples > 0)
-        {
-            sum += target.log_slowness;
-            ++count;
-        }
-    }
-    for (auto& target : this->targets)
-    {
-        target.slowness = target.samples > 0
-                              ? std::exp((target.log_slowness - sum / count) * target.samples /
-                                         (target.samples + prior_samples))
-                              : 1;
-    }
-}
-
 std::uint32_t target_pool::limit_of(target_record& target, base::steady_time now)
 {
     if (!target.known || !target.open || target.removed || now < target.hold_until)
@@ -424,56 +347,4 @@
     return std::min(target.usable, slots);
 }
 
-bool target_pool::may_take_out(std::uint32_t number, base::steady_time now) const
-{
-    std::uint32_t out = 1;
-    std::uint32_t all = 0;
-    for (std::uint32_t other = 0; other < this->targets.size(); ++other)
-    {
-        auto const& target = this->targets[other];
-        if (target.known && target.open && !target.removed)
-        {
-            ++all;
-            out += other != number &&
-                   (target.health.state() != health_state::in_service || now < target.hold_until);
-        }
-    }
-    return out * 2 <= all;
-}
-
-double target_pool::failure_rate_of_others(std::uint32_t number) const
-{
-    double sum = 0;
-    double count = 0;
-    for (std::uint32_t other = 0; other < this->targets.size(); ++other)
-    {
-        auto const& target = this->targets[other];
-        if (other != number && target.results > 0 &&
-            target.health.state() == health_state::in_service)
-        {
-            sum += target.failure_rate;
-            ++count;
-        }
-    }
-    return count > 0 ? sum / count : 1;
-}
-
-void target_pool::hold(target_record& target, std::uint32_t times, base::steady_time now)
-{
-    auto const length = std::chrono::duration<double, std::milli>(first_hold) *
-                        static_cast<double>(1U << std::min(times, max_hold_doublings)) *
-                        (1 + this->jitter());
-    target.hold_until = now + std::chrono::duration_cast<base::steady_time::duration>(length);
-}
-
-void target_pool::reset(target_record& target, base::steady_time now)
-{
-    target.ramp_start = now;
-    target.hold_until = now;
-    target.failures_in_row = 0;
-    target.refusals_in_row = 0;
-    target.failure_rate = 0;
-    target.results = 0;
-}
-
 } // namespace filbertroad::scheduling::internal
--- a/filbertroad/scheduling/internal/target_pool.hpp
+++ b/filbertroad/scheduling/internal/target_pool.hpp
@@ -8,12 +8,14 @@
 ///     target_pool pool(seed, ramp_up);
 ///     pool.update(info, now);
 ///     pool.refresh(now);
-///     auto choice = pool.choose(placement, waiting_tasks, now);
-///     pool.started(choice.target);
+///     auto target = pool.fastest_free(placement);
+///     pool.started(*target);
 ///
 /// Not safe for several threads.
 
 #include "filbertroad/base/clock.hpp"
+#include "filbertroad/scheduling/internal/job_choice.hpp"
+#include "filbertroad/scheduling/internal/run_time_profile.hpp"
 #include "filbertroad/scheduling/internal/target_health.hpp"
 #include "filbertroad/scheduling/scheduler.hpp"
 
@@ -32,6 +34,9 @@
 
 inline constexpr std::uint32_t no_target = std::numeric_limits<std::uint32_t>::max();
 
+/// Time after which a limit that was lowered by a refusal rises by one slot.
+inline constexpr std::chrono::milliseconds raise_interval{500};
+
 struct target_record
 {
     target_info info;
@@ -58,12 +63,23 @@
     /// Mean of the logarithm of run time relative to that of its route.
     double log_slowness = 0;
     std::uint32_t samples = 0;
+    /// The same over the last few run times.
+    double recent_log_slowness = 0;
+    std::uint32_t recent_samples = 0;
     /// Run time relative to the mean target.
     double slowness = 1;
+    /// Inverse of slowness.
+    double speed = 1;
     /// Slots open now; set by refresh.
     std::uint32_t limit = 0;
 
     [[nodiscard]] bool has_room() const { return this->running < this->limit; }
+    /// All slots are busy and the agent may hold one more start.
+    [[nodiscard]] bool may_hold() const
+    {
+        return this->limit == this->info.slots && !this->has_room() &&
+               this->running < this->limit + this->info.held_starts;
+    }
 };
 
 /// Evidence that a job gives about its target.
@@ -87,8 +103,9 @@
     /// The same; adds a closed target of unknown size when there is none.
     std::uint32_t find_or_add_closed(std::string_view name);
 
-    /// Number of a placement rule, or a new one.
-    std::uint32_t placement(placement_rule const& rule);
+    [[nodiscard]] std::optional<std::uint32_t> find_placement(placement_rule const& rule) const;
+    /// Gives a number to a rule: that of one that is no longer needed, or the next one.
+    void set_placement(std::uint32_t number, placement_rule const& rule);
     /// Whether a registered target meets the rule, and if not, since when.
     [[nodiscard]] bool is_placeable(std::uint32_t placement) const;
     [[nodiscard]] base::steady_time unplaceable_since(std::uint32_t placement) const;
@@ -100,10 +117,23 @@
     /// Brings limits that depend on time up to date. Call before choosing.
     void refresh(base::steady_time now);
     [[nodiscard]] std::uint32_t free_slots() const { return this->free; }
-    /// Target for the next of `waiting` tasks of a placement, or nothing when no target is free or
-    /// a faster one will be free soon enough.
-    [[nodiscard]] std::optional<std::uint32_t> choose(std::uint32_t placement,
-                                                      std::uint32_t waiting) const;
+    /// The free target on which a task of the placement is expected to end first.
+    [[nodiscard]] std::optional<std::uint32_t> fastest_free(std::uint32_t placement) const;
+    /// The fastest target of a placement without a free slot whose agent may hold one more start.
+    [[nodiscard]] std::optional<std::uint32_t> fastest_to_hold(std::uint32_t placement) const;
+    [[nodiscard]] std::uint32_t open_slots() const { return this->slots; }
+    /// Starts that agents may hold now.
+    [[nodiscard]] std::uint32_t free_holds() const { return this->holds; }
+    /// The busy targets of a placement that are clearly faster than a target.
+    [[nodiscard]] faster_targets faster_than(std::uint32_t placement, std::uint32_t target) const;
+    [[nodiscard]] double slowness(std::uint32_t target) const
+    {
+        return this->targets[target].slowness;
+    }
+    /// Share of the open capacity in use, averaged over about half a minute.
+    [[nodiscard]] double utilisation() const { return this->mean_utilisation; }
+    /// Run times of all routes together.
+    [[nodiscard]] run_time_profile const& run_times() const { return this->all_routes; }
     void started(std::uint32_t target);
     void stopped(std::uint32_t target);
     void succeeded(std::uint32_t target, std::uint32_t route, std::chrono::microseconds run_time,
@@ -135,7 +165,8 @@
     };
 
     void rebuild(base::steady_time now);
-    void update_slowness();
+    void update_slowness(target_record& target);
+    void update_all_slowness();
     [[nodiscard]] std::uint32_t limit_of(target_record& target, base::steady_time now);
     /// Whether the target may be ejected or held while at least half of the pool stays in service.
     [[nodiscard]] bool may_take_out(std::uint32_t target, base::steady_time now) const;
@@ -148,9 +179,15 @@
     std::vector<target_record> targets;
     std::vector<placement_class> placements;
     std::vector<route_record> routes;
-    /// Run time in seconds on a target of slowness 1.
-    double mean_run_time = 0.3;
+    std::uint32_t next_route = 0;
+    run_time_profile all_routes;
+    double mean_log_slowness = 0;
+    std::uint32_t until_update = 1;
     std::uint32_t free = 0;
+    std::uint32_t holds = 0;
+    std::uint32_t slots = 0;
+    double mean_utilisation = 0;
+    base::steady_time last_refresh{};
     std::uint64_t starts = 0;
     base::steady_time last_change{};
 };
--- a/filbertroad/scheduling/scheduler.cpp
+++ b/filbertroad/scheduling/scheduler.cpp
@@ -3,7 +3,6 @@
 #include "filbertroad/scheduling/internal/scheduler_state.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace filbertroad::scheduling
 {
@@ -65,46 +64,6 @@
     }
 }
 
-base::result<void, admission_error> scheduler::admit(job_entry const& job, base::steady_time now)
-{
-    auto& state = *this->content;
-    state.advance(now);
-    auto const* const known = state.jobs.find(job.job);
-    if (job.tasks.empty() || (known != nullptr && !known->tasks.empty()))
-    {
-        return base::success();
-    }
-    auto& team = state.team(job.team);
-    auto const placement = state.targets.placement(job.placement);
-    auto const tasks = static_cast<std::uint32_t>(job.tasks.size());
-    internal::admission_request const request{
-        .tasks = tasks,
-        .bytes = job.bytes,
-        .deadline = job.deadline,
-        .queued_tasks = state.jobs.queued_tasks(),
-        .queued_bytes = state.jobs.queued_bytes(),
-        .team = job.team,
-        .team_known = team.configured,
-        .team_queued = team.queued,
-        .team_max_queued = team.max_queued,
-        .tasks_ahead = static_cast<double>(state.jobs.queued_tasks()) + tasks,
-        .tasks_per_second = state.targets.tasks_per_second(placement),
-        .jitter = state.targets.jitter(),
-    };
-    if (auto refusal = internal::check_admission(request, state.limits))
-    {
-        return *std::move(refusal);
-    }
-    auto& record = state.jobs.record(job.job);
-    record.in_lane = &state.jobs.lane_of(team, placement);
-    record.arrival = now;
-    record.bytes = job.bytes;
-    record.route = state.targets.route(job.route);
-    record.start_before = job.deadline.count() > 0 ? now + job.deadline : base::steady_time::max();
-    state.jobs.enqueue(record, job.tasks);
-    return base::success();
-}
-
 std::vector<std::uint32_t> scheduler::cancel_job(std::uint64_t job)
 {
     auto* const record = this->content->jobs.find(job);
@@ -126,28 +85,32 @@
         return;
     }
     state.targets.refresh(now);
+    ++state.dispatches;
     state.blocked.assign(state.targets.placements_count(), 0);
-    while (state.targets.free_slots() > 0)
+    while (state.targets.free_slots() > 0 || state.may_hold())
     {
         auto* const lane = state.next_lane();
         if (lane == nullptr)
         {
             return;
         }
-        auto const target = state.targets.choose(lane->placement, state.jobs.queued_tasks());
+        auto target = state.targets.fastest_free(lane->placement);
+        if (!target && state.may_hold())
+        {
+            target = state.targets.fastest_to_hold(lane->placement);
+        }
         if (!target)
         {
             state.blocked[lane->placement] = 1;
             continue;
         }
-        auto& job = *lane->jobs.begin();
-        task_id const task{job.job, state.jobs.take(job)};
-        ++job.running;
-        ++lane->team->running;
-        lane->team->last_served = ++state.assignments;
-        state.targets.started(*target);
-        state.running[task] = {*target, lane->team, &job};
-        out.push_back({task, state.targets.name(*target)});
+        auto* const job = state.job_for(*lane, *target);
+        if (job == nullptr)
+        {
+            lane->waits_in = state.dispatches;
+            continue;
+        }
+        state.assign(*job, *target, out);
     }
 }
 
@@ -209,22 +172,6 @@
     return this->content->targets.views();
 }
 
-internal::team_record& scheduler::state::team(std::string_view name)
-{
-    auto const found = std::find_if(this->teams.begin(), this->teams.end(),
-                                    [&](auto const& team) { return team->name == name; });
-    if (found != this->teams.end())
-    {
-        return **found;
-    }
-    auto& created = *this->teams.emplace_back(std::make_unique<internal::team_record>());
-    created.name = name;
-    created.configured = !this->teams_configured;
-    created.max_running = std::numeric_limits<std::uint32_t>::max();
-    created.max_queued = std::numeric_limits<std::uint32_t>::max();
-    return created;
-}
-
 internal::lane* scheduler::state::next_lane() const
 {
     internal::lane* best = nullptr;
@@ -232,7 +179,7 @@
     {
         auto const& team = *lane->team;
         if (!team.configured || team.running >= team.max_running ||
-            this->blocked[lane->placement] != 0)
+            this->blocked[lane->placement] != 0 || lane->waits_in == this->dispatches)
         {
             continue;
         }
@@ -244,6 +191,33 @@
     return best;
 }
 
+internal::job_record* scheduler::state::job_for(internal::lane& lane, std::uint32_t target)
+{
+    auto const faster = this->targets.faster_than(lane.placement, target);
+    if (faster.rate <= 0)
+    {
+        return &*lane.jobs.begin();
+    }
+    return internal::choose_for_slow_slot(
+        lane,
+        {this->targets.slowness(target), faster,
+         static_cast<std::uint32_t>(this->jobs.active_lanes().size()), this->targets.utilisation()},
+        this->targets.run_times());
+}
+
+void scheduler::state::assign(internal::job_record& job, std::uint32_t target,
+                              std::vector<assignment>& out)
+{
+    auto& team = *job.in_lane->team;
+    task_id const task{job.job, this->jobs.take(job)};
+    ++job.running;
+    ++team.running;
+    team.last_served = ++this->assignments;
+    this->targets.started(target);
+    this->running[task] = {target, &team, &job};
+    out.push_back({task, this->targets.name(target)});
+}
+
 scheduler::builder::builder() = default;
 
 scheduler::builder& scheduler::builder::seed(std::uint64_t value)
--- a/filbertroad/server/control_controller.cpp
+++ b/filbertroad/server/control_controller.cpp
@@ -32,6 +32,20 @@
     }
 }
 
+publish_result to_result(control::applied const& applied, std::uint64_t offset)
+{
+    switch (applied.outcome)
+    {
+    case control::apply_outcome::accepted:
+        return offset;
+    case control::apply_outcome::conflict:
+        return base::error<publish_error>{publish_error::conflict, applied.detail};
+    case control::apply_outcome::ignored:
+        break;
+    }
+    return base::error<publish_error>{publish_error::invalid, applied.detail};
+}
+
 } // namespace
 
 control_controller::control_controller(boost::asio::io_context& io, base::clock const& clock,
@@ -137,6 +151,8 @@
         this->events.probe_members();
         return;
     }
+    control::applied sum;
+    std::vector<std::function<void()>> settled;
     for (auto const& entry : page.records)
     {
         if (entry.offset < this->current.next_offset())
@@ -149,59 +165,73 @@
         {
             record.Clear();
         }
-        this->apply_record(entry.offset, record);
+        this->apply_record(entry.offset, record, sum, settled);
+    }
+    if (sum.outcome == control::apply_outcome::accepted)
+    {
+        this->publish_state(sum);
+    }
+    // Operators are told after the change is in force here.
+    for (auto const& tell : settled)
+    {
+        tell();
     }
 }
 
 bool control_controller::restart_from_page(net::log_page const& page)
 {
-    wire::control_record record;
-    for (auto at = page.records.rbegin(); at != page.records.rend(); ++at)
+    std::vector<control::positioned_record> records;
+    for (auto const& entry : page.records)
     {
-        // A snapshot may have raced with a change, so every record after its state must be kept.
-        if (record.ParseFromString(at->data) && record.has_snapshot() &&
-            record.snapshot().as_of() + 1 >= page.first)
+        control::positioned_record record{entry.offset, {}};
+        if (record.record.ParseFromString(entry.data) && record.record.has_snapshot())
         {
-            this->state_received(record.snapshot());
-            return true;
+            records.push_back(std::move(record));
         }
     }
-    return false;
+    auto start = control::start_from_expired_log(records, page.first);
+    return start && this->replace_state(std::move(*start));
 }
 
-void control_controller::apply_record(std::uint64_t offset, wire::control_record const& record)
+bool control_controller::replace_state(control::control_state state)
 {
-    auto const applied = this->current.apply(offset, record, this->clock.system_now());
-    this->confirmation.state_advanced(this->current.version());
-    this->events.record_applied(record, offset, applied);
-    if (auto const id = change_id_of(record); !id.empty())
-    {
-        this->settle_change(id, offset, applied, record);
-    }
-    if (applied.outcome == control::apply_outcome::accepted)
+    if (state.next_offset() <= this->current.next_offset())
     {
-        this->publish_state(applied);
+        return false;
     }
+    this->current = std::move(state);
+    this->confirmation.state_advanced(this->current.version());
+    control::applied applied;
+    applied.outcome = control::apply_outcome::accepted;
+    applied.view_changed = true;
+    applied.tables_changed = true;
+    applied.service_changed = true;
+    applied.agents_changed = true;
+    this->publish_state(applied);
+    return true;
 }
 
-void control_controller::settle_change(std::string const& id, std::uint64_t offset,
-                                       control::applied const& applied,
-                                       wire::control_record const& record)
+void control_controller::apply_record(std::uint64_t offset, wire::control_record const& record,
+                                      control::applied& sum,
+                                      std::vector<std::function<void()>>& settled)
 {
-    auto found = this->changes.extract(id);
-    if (found.empty())
+    auto const applied = this->current.apply(offset, record, this->clock.system_now());
+    this->confirmation.state_advanced(this->current.version());
+    this->events.record_applied(record, offset, applied);
+    if (applied.outcome == control::apply_outcome::accepted)
     {
-        return;
+        sum.outcome = applied.outcome;
+        sum.view_changed = sum.view_changed || applied.view_changed;
+        sum.tables_changed = sum.tables_changed || applied.tables_changed;
+        sum.service_changed = sum.service_changed || applied.service_changed;
+        sum.agents_changed = sum.agents_changed || applied.agents_changed;
     }
-    if (applied.outcome == control::apply_outcome::accepted)
+    auto found = this->changes.extract(change_id_of(record));
+    if (!found.empty())
     {
-        found.mapped().handler(offset);
-        return;
+        settled.push_back([handler = std::move(found.mapped().handler),
+                           result = to_result(applied, offset)] { handler(result); });
     }
-    auto const code = applied.outcome == control::apply_outcome::conflict ? publish_error::conflict
-                                                                          : publish_error::invalid;
-    (void)record;
-    found.mapped().handler(base::error<publish_error>{code, applied.detail});
 }
 
 void control_controller::publish_state(control::applied const& applied)
@@ -368,8 +398,12 @@
 void control_controller::peer_offset_seen(model::process_id const& entry,
                                           std::uint64_t state_offset)
 {
-    boost::asio::post(this->strand, [this, entry, state_offset]
-                      { this->confirmation.peer_offset_seen(entry, state_offset); });
+    boost::asio::post(this->strand,
+                      [this, entry, state_offset]
+                      {
+                          this->confirmation.peer_offset_seen(entry, state_offset);
+                          this->refresh_confirmation(this->clock.steady_now());
+                      });
 }
 
 void control_controller::agent_linked(wire::agent const& agent)
@@ -414,26 +448,15 @@
 
 void control_controller::state_received(wire::control_snapshot const& snapshot)
 {
-    boost::asio::dispatch(this->strand,
-                          [this, snapshot]
+    boost::asio::post(this->strand,
+                      [this, snapshot]
+                      {
+                          auto restored = control::control_state::from_snapshot(snapshot);
+                          if (restored)
                           {
-                              auto restored = control::control_state::from_snapshot(snapshot);
-                              if (!restored ||
-                                  (restored.value().version() <= this->current.version() &&
-                                   this->current.version() != 0))
-                              {
-                                  return;
-                              }
-                              this->current = std::move(restored).value();
-                              this->confirmation.state_advanced(this->current.version());
-                              control::applied applied;
-                              applied.outcome = control::apply_outcome::accepted;
-                              applied.view_changed = true;
-                              applied.tables_changed = true;
-                              applied.service_changed = true;
-                              applied.agents_changed = true;
-                              this->publish_state(applied);
-                          });
+                              this->replace_state(std::move(restored).value());
+                          }
+                      });
 }
 
 void control_controller::start_leaving()
