--- a/filbertroad/submission/agents.cpp
+++ b/filbertroad/submission/agents.cpp
@@ -59,11 +59,18 @@
 
 void shard_owner::state::announce_target(internal::agent_record& agent)
 {
-    if (!agent.registered || !agent.linked || agent.replaced || agent.target.name().empty())
+    if (!agent.registered && agent.announced && !agent.replaced)
+    {
+        // Jobs that only this target could run are rejected, not left waiting.
+        agent.announced = false;
+        this->queue.remove_target(agent.target.name(), this->now);
+    }
+    if (!agent.may_start() || agent.target.name().empty())
     {
         this->refresh_target(agent);
         return;
     }
+    agent.announced = true;
     scheduling::target_info info{
         .name = agent.target.name(),
         .zone = agent.zone,
@@ -124,7 +131,8 @@
     }
     auto const& held = owner->content->tasks[task.index()];
     auto const at_agent = internal::is_at_agent(held.state);
-    if (at_agent && held.agent != &agent)
+    // The earlier owner may have sent an adopted task to another agent after the first refused it.
+    if (at_agent && held.agent != &agent && !held.adopted)
     {
         return;
     }
@@ -150,7 +158,7 @@
         return known;
     }
     auto const key = model::parse_key(id.key);
-    if (!key || !this->is_of_this_shard(id.key) || !this->owned.is_owner ||
+    if (!key || !this->is_of_this_shard(id.key) || !this->owned.is_owner || this->owned.leaving ||
         entry.task_count() == 0 || entry.task_count() > model::max_tasks)
     {
         return nullptr;
@@ -189,6 +197,10 @@
     {
         this->adopt(agent, *owner, task.index(), view);
     }
+    else if (held.adopted && internal::is_at_agent(held.state) && held.agent != &agent && view != 0)
+    {
+        this->second_claims[{held.number, task.index()}] = {agent.id, view};
+    }
     else if (held.agent == &agent &&
              this->apply(*owner, task.index(), internal::task_event::observed_running))
     {
@@ -238,7 +250,7 @@
     for (auto const& [id, found_by] : tasks)
     {
         auto* const owner = this->jobs.find_number(id.job);
-        if (found_by != view || owner == nullptr || mentioned.contains({owner->id, id.index}))
+        if (found_by != view || owner == nullptr || mentioned.contains({owner->id(), id.index}))
         {
             continue;
         }
