Split the unit tests of the scheduler

Change: the fixture is a header of its own and the health tests have their own file; no test changed.

--- /dev/null
+++ b/filbertroad/scheduling/scheduler_health_test.cpp
@@ -0,0 +1,135 @@
+#include "filbertroad/scheduling/scheduler_fixture.hpp"
+
+namespace filbertroad::scheduling
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+using health = scheduler_fixture;
+
+TEST_F(health, target_that_fails_everything_at_once_does_not_attract_work)
+{
+    this->add_target("bad", 8);
+    this->add_target("good", 8);
+    this->now += 3s;
+    int failures = 0;
+    for (std::uint64_t job = 1; job <= 3000; ++job)
+    {
+        ASSERT_TRUE(this->admit(job, 1).has_value());
+        this->now += 1ms;
+        for (auto const& one : this->dispatch())
+        {
+            bool const bad = one.target == "bad";
+            failures += bad;
+            this->queue.task_finished(one.task, bad ? finish::failed : finish::succeeded, 1ms,
+                                      this->now);
+        }
+    }
+    EXPECT_LT(failures, 30);
+    EXPECT_NE(this->view("bad").health, "in_service");
+    EXPECT_EQ(this->view("good").health, "in_service");
+}
+
+TEST_F(health, job_that_fails_everywhere_does_not_eject_targets)
+{
+    for (auto const* name : {"a", "b", "c", "d"})
+    {
+        this->add_target(name, 8);
+    }
+    this->now += 3s;
+    for (std::uint64_t job = 1; job < 200; ++job)
+    {
+        ASSERT_TRUE(this->admit(job, 20).has_value());
+        for (int round = 0; round < 20; ++round)
+        {
+            this->now += 10ms;
+            for (auto const& one : this->dispatch())
+            {
+                bool const fails = one.task.job % 4 == 0;
+                this->queue.task_finished(one.task, fails ? finish::failed : finish::succeeded,
+                                          10ms, this->now);
+            }
+        }
+        for (auto const& target : this->queue.targets())
+        {
+            ASSERT_EQ(target.health, "in_service") << "job " << job << " target " << target.name;
+        }
+    }
+}
+
+TEST_F(health, at_most_half_of_the_pool_is_ejected)
+{
+    for (auto const* name : {"a", "b", "c", "d", "e"})
+    {
+        this->add_target(name, 2);
+    }
+    this->now += 3s;
+    for (std::uint64_t job = 1; job < 2000; ++job)
+    {
+        ASSERT_TRUE(this->admit(job, 1).has_value());
+        this->now += 5ms;
+        for (auto const& one : this->dispatch())
+        {
+            bool const good = one.target == "e";
+            this->queue.task_finished(one.task, good ? finish::succeeded : finish::failed, 5ms,
+                                      this->now);
+        }
+        int out = 0;
+        for (auto const& target : this->queue.targets())
+        {
+            out += target.health != "in_service";
+        }
+        ASSERT_LE(out, 2);
+    }
+}
+
+TEST_F(health, ejected_target_that_recovered_returns)
+{
+    this->add_target("a", 4);
+    this->add_target("b", 4);
+    this->now += 3s;
+    bool was_ejected = false;
+    for (std::uint64_t job = 1; job < 4000; ++job)
+    {
+        ASSERT_TRUE(this->admit(job, 1).has_value());
+        this->now += 5ms;
+        for (auto const& one : this->dispatch())
+        {
+            bool const fails = one.target == "b" && job < 400;
+            this->queue.task_finished(one.task, fails ? finish::failed : finish::succeeded, 5ms,
+                                      this->now);
+        }
+        was_ejected |= this->view("b").health == "ejected";
+    }
+    EXPECT_TRUE(was_ejected);
+    EXPECT_EQ(this->view("b").health, "in_service");
+}
+
+TEST_F(health, target_that_becomes_slow_loses_its_place_within_a_few_tasks)
+{
+    this->add_target("a", 8);
+    this->add_target("b", 8);
+    this->now += 3s;
+    for (std::uint64_t job = 1; job <= 70; ++job)
+    {
+        // 60 rounds of tasks on all slots, then ten in which target a is eight times slower.
+        ASSERT_TRUE(this->admit(job, 16).has_value());
+        for (auto const& one : this->dispatch())
+        {
+            bool const slow = one.target == "a" && job > 60;
+            this->queue.task_finished(one.task, finish::succeeded, slow ? 800ms : 100ms, this->now);
+        }
+        if (job == 60)
+        {
+            EXPECT_NEAR(this->view("a").slowness, 1, 0.1);
+        }
+    }
+    EXPECT_GT(this->view("a").slowness / this->view("b").slowness, 2);
+    ASSERT_TRUE(this->admit(71, 1).has_value());
+    EXPECT_EQ(this->dispatch().at(0).target, "b");
+}
+
+} // namespace
+} // namespace filbertroad::scheduling
--- a/filbertroad/scheduling/scheduler_test.cpp
+++ b/filbertroad/scheduling/scheduler_test.cpp
@@ -1,10 +1,6 @@
-#include "filbertroad/scheduling/scheduler.hpp"
+#include "filbertroad/scheduling/scheduler_fixture.hpp"
 
-#include <gtest/gtest.h>
 #include <map>
-#include <numeric>
-#include <string>
-#include <vector>
 
 namespace filbertroad::scheduling
 {
@@ -13,68 +9,10 @@
 
 using namespace std::chrono_literals;
 
-/// A scheduler with its clock; targets have passed their ramp-up.
-struct fixture : testing::Test
-{
-    base::steady_time now{1h};
-    scheduler queue = scheduler::builder().seed(7).build();
-
-    void add_target(std::string const& name, std::uint32_t slots, std::string const& zone = "khi-b")
-    {
-        this->queue.update_target({.name = name, .zone = zone, .labels = {}, .slots = slots},
-                                  this->now);
-    }
-    auto admit(std::uint64_t job, std::uint32_t tasks, std::string const& team = "depot",
-               placement_rule const& rule = {}, std::chrono::milliseconds deadline = 0ms)
-    {
-        job_entry entry{.job = job,
-                        .team = team,
-                        .route = "stock",
-                        .placement = rule,
-                        .tasks = {},
-                        .bytes = tasks * 100UL,
-                        .deadline = deadline};
-        entry.tasks.resize(tasks);
-        std::iota(entry.tasks.begin(), entry.tasks.end(), 0);
-        return this->queue.admit(entry, this->now);
-    }
-    std::vector<assignment> dispatch()
-    {
-        std::vector<assignment> out;
-        this->queue.dispatch(this->now, out);
-        return out;
-    }
-    std::vector<rejection> expire()
-    {
-        std::vector<rejection> out;
-        this->queue.expire(this->now, out);
-        return out;
-    }
-    void finish_all(std::vector<assignment> const& started, finish how, std::chrono::microseconds t)
-    {
-        for (auto const& one : started)
-        {
-            this->queue.task_finished(one.task, how, t, this->now);
-        }
-    }
-    target_view view(std::string const& name)
-    {
-        for (auto const& target : this->queue.targets())
-        {
-            if (target.name == name)
-            {
-                return target;
-            }
-        }
-        return {};
-    }
-};
-
-using slots = fixture;
-using order = fixture;
-using health = fixture;
-using admission = fixture;
-using expiry = fixture;
+using slots = scheduler_fixture;
+using order = scheduler_fixture;
+using admission = scheduler_fixture;
+using expiry = scheduler_fixture;
 
 TEST_F(slots, cold_target_does_not_receive_a_burst)
 {
@@ -196,128 +134,6 @@
     EXPECT_EQ(started[2], 6);
 }
 
-TEST_F(health, target_that_fails_everything_at_once_does_not_attract_work)
-{
-    this->add_target("bad", 8);
-    this->add_target("good", 8);
-    this->now += 3s;
-    int failures = 0;
-    for (std::uint64_t job = 1; job <= 3000; ++job)
-    {
-        ASSERT_TRUE(this->admit(job, 1).has_value());
-        this->now += 1ms;
-        for (auto const& one : this->dispatch())
-        {
-            bool const bad = one.target == "bad";
-            failures += bad;
-            this->queue.task_finished(one.task, bad ? finish::failed : finish::succeeded, 1ms,
-                                      this->now);
-        }
-    }
-    EXPECT_LT(failures, 30);
-    EXPECT_NE(this->view("bad").health, "in_service");
-    EXPECT_EQ(this->view("good").health, "in_service");
-}
-
-TEST_F(health, job_that_fails_everywhere_does_not_eject_targets)
-{
-    for (auto const* name : {"a", "b", "c", "d"})
-    {
-        this->add_target(name, 8);
-    }
-    this->now += 3s;
-    for (std::uint64_t job = 1; job < 200; ++job)
-    {
-        ASSERT_TRUE(this->admit(job, 20).has_value());
-        for (int round = 0; round < 20; ++round)
-        {
-            this->now += 10ms;
-            for (auto const& one : this->dispatch())
-            {
-                bool const fails = one.task.job % 4 == 0;
-                this->queue.task_finished(one.task, fails ? finish::failed : finish::succeeded,
-                                          10ms, this->now);
-            }
-        }
-        for (auto const& target : this->queue.targets())
-        {
-            ASSERT_EQ(target.health, "in_service") << "job " << job << " target " << target.name;
-        }
-    }
-}
-
-TEST_F(health, at_most_half_of_the_pool_is_ejected)
-{
-    for (auto const* name : {"a", "b", "c", "d", "e"})
-    {
-        this->add_target(name, 2);
-    }
-    this->now += 3s;
-    for (std::uint64_t job = 1; job < 2000; ++job)
-    {
-        ASSERT_TRUE(this->admit(job, 1).has_value());
-        this->now += 5ms;
-        for (auto const& one : this->dispatch())
-        {
-            bool const good = one.target == "e";
-            this->queue.task_finished(one.task, good ? finish::succeeded : finish::failed, 5ms,
-                                      this->now);
-        }
-        int out = 0;
-        for (auto const& target : this->queue.targets())
-        {
-            out += target.health != "in_service";
-        }
-        ASSERT_LE(out, 2);
-    }
-}
-
-TEST_F(health, ejected_target_that_recovered_returns)
-{
-    this->add_target("a", 4);
-    this->add_target("b", 4);
-    this->now += 3s;
-    bool was_ejected = false;
-    for (std::uint64_t job = 1; job < 4000; ++job)
-    {
-        ASSERT_TRUE(this->admit(job, 1).has_value());
-        this->now += 5ms;
-        for (auto const& one : this->dispatch())
-        {
-            bool const fails = one.target == "b" && job < 400;
-            this->queue.task_finished(one.task, fails ? finish::failed : finish::succeeded, 5ms,
-                                      this->now);
-        }
-        was_ejected |= this->view("b").health == "ejected";
-    }
-    EXPECT_TRUE(was_ejected);
-    EXPECT_EQ(this->view("b").health, "in_service");
-}
-
-TEST_F(health, target_that_becomes_slow_loses_its_place_within_a_few_tasks)
-{
-    this->add_target("a", 8);
-    this->add_target("b", 8);
-    this->now += 3s;
-    for (std::uint64_t job = 1; job <= 70; ++job)
-    {
-        // 60 rounds of tasks on all slots, then ten in which target a is eight times slower.
-        ASSERT_TRUE(this->admit(job, 16).has_value());
-        for (auto const& one : this->dispatch())
-        {
-            bool const slow = one.target == "a" && job > 60;
-            this->queue.task_finished(one.task, finish::succeeded, slow ? 800ms : 100ms, this->now);
-        }
-        if (job == 60)
-        {
-            EXPECT_NEAR(this->view("a").slowness, 1, 0.1);
-        }
-    }
-    EXPECT_GT(this->view("a").slowness / this->view("b").slowness, 2);
-    ASSERT_TRUE(this->admit(71, 1).has_value());
-    EXPECT_EQ(this->dispatch().at(0).target, "b");
-}
-
 TEST_F(admission, full_queue_refuses_with_a_reason_and_a_time)
 {
     this->queue = scheduler::builder().seed(1).max_queued_tasks(10).build();
