Name the offset of the agents' state in pongs to agents

Cause: agents are sent a new state when members, zones or targets change, but pongs named the offset of any change.

Change: control_state::agent_offset() is the offset of the last record that changed what agents are told; agent_state() and the pongs to agents carry it.

Conclusion: tables may change at any rate without a message to the agents.

--- a/filbertroad/control/control_queries.cpp
+++ b/filbertroad/control/control_queries.cpp
@@ -100,6 +100,8 @@
     {
         state.target_states[target.name()] = target;
     }
+    state.service_offset =
+        std::max(newest_version(state.zone_states), newest_version(state.target_states));
     state.member_list.assign(snapshot.members().begin(), snapshot.members().end());
     state.agent_list.assign(snapshot.agents().begin(), snapshot.agents().end());
     std::sort(state.member_list.begin(), state.member_list.end(),
@@ -362,10 +364,25 @@
     return found;
 }
 
+std::uint64_t control_state::newest_version(service_states const& states)
+{
+    std::uint64_t newest = 0;
+    for (auto const& [name, state] : states)
+    {
+        newest = std::max<std::uint64_t>(newest, state.version());
+    }
+    return newest;
+}
+
+std::uint64_t control_state::agent_offset() const
+{
+    return std::max(this->view_offset, this->service_offset);
+}
+
 wire::agent_state control_state::agent_state() const
 {
     wire::agent_state state;
-    state.set_offset(this->version_offset);
+    state.set_offset(this->agent_offset());
     state.set_view(this->view_offset);
     state.mutable_members()->Assign(this->member_list.begin(), this->member_list.end());
     for (auto const& [name, zone] : this->zone_states)
--- a/filbertroad/control/control_state.cpp
+++ b/filbertroad/control/control_state.cpp
@@ -81,9 +81,9 @@
     case wire::control_record::kTable:
         return this->apply_table(offset, record.table());
     case wire::control_record::kZone:
-        return apply_service(offset, record.zone(), this->zone_states);
+        return this->apply_service(offset, record.zone(), this->zone_states);
     case wire::control_record::kTarget:
-        return apply_service(offset, record.target(), this->target_states);
+        return this->apply_service(offset, record.target(), this->target_states);
     case wire::control_record::kJoined:
         return this->apply_joined(offset, record.joined().entry(), read_at);
     case wire::control_record::kLeaving:
@@ -158,6 +158,7 @@
     state.set_name(change.name());
     state.set_in_service(change.in_service());
     state.set_version(offset);
+    this->service_offset = offset;
     return make_accepted(&applied::service_changed);
 }
 
--- a/filbertroad/control/control_state.hpp
+++ b/filbertroad/control/control_state.hpp
@@ -129,18 +129,22 @@
     /// Writer's time of the newest snapshot record that matched the state; empty if none was read.
     [[nodiscard]] std::optional<base::system_time> newest_snapshot() const;
 
-    /// The part that agents need.
+    /// The part that agents need; its offset is agent_offset().
     [[nodiscard]] wire::agent_state agent_state() const;
+    /// Offset of the record that last changed the members, a zone or a target. Pongs to agents name
+    /// it, since agents are not told of records that change nothing else.
+    [[nodiscard]] std::uint64_t agent_offset() const;
 
 private:
     using service_states = std::map<std::string, wire::service_state, std::less<>>;
     using name_index = std::map<std::string, int, std::less<>>;
 
+    [[nodiscard]] static std::uint64_t newest_version(service_states const& states);
     applied apply_body(std::uint64_t offset, wire::control_record const& record,
                        base::system_time read_at);
     applied apply_table(std::uint64_t offset, wire::table_change const& change);
-    static applied apply_service(std::uint64_t offset, wire::service_change const& change,
-                                 service_states& states);
+    applied apply_service(std::uint64_t offset, wire::service_change const& change,
+                          service_states& states);
     applied apply_joined(std::uint64_t offset, wire::member const& entry,
                          base::system_time read_at);
     applied apply_leaving(std::uint64_t offset, wire::process_id const& entry);
@@ -166,6 +170,8 @@
     std::uint64_t version_offset = 0;
     std::uint64_t next = 1;
     std::uint64_t view_offset = 0;
+    /// Version of the zone or target that changed last.
+    std::uint64_t service_offset = 0;
     wire::routes_table routes_content;
     wire::pools_table pools_content;
     wire::teams_table teams_content;
--- a/filbertroad/control/control_state_test.cpp
+++ b/filbertroad/control/control_state_test.cpp
@@ -401,5 +401,25 @@
     EXPECT_TRUE(log.state.agents().empty());
 }
 
+// Guards against agents that wait for a state which nobody sends, because a record that does not
+// concern them moved the offset that pongs name.
+TEST(control_state, the_offset_for_agents_moves_with_members_zones_and_targets_only)
+{
+    log_model log;
+    log.append(make_joined("a", 1));
+    EXPECT_EQ(log.state.agent_offset(), log.state.version());
+    auto const before = log.state.agent_offset();
+    wire::control_record record;
+    record.mutable_table()->mutable_routes();
+    EXPECT_EQ(log.append(record).outcome, apply_outcome::accepted);
+    EXPECT_EQ(log.state.agent_offset(), before);
+    EXPECT_EQ(log.state.agent_state().offset(), before);
+    record.mutable_zone()->set_name("khi-b");
+    log.append(record);
+    EXPECT_EQ(log.state.agent_offset(), log.state.version());
+    auto const restored = control_state::from_snapshot(log.state.snapshot()).value();
+    EXPECT_EQ(restored.agent_offset(), log.state.version());
+}
+
 } // namespace
 } // namespace filbertroad::control
--- a/filbertroad/server/entry_core.cpp
+++ b/filbertroad/server/entry_core.cpp
@@ -108,6 +108,12 @@
     events.entry_response = [this](model::process_id const& entry, wire::response& response)
     { this->peers.response_received(entry, response); };
     events.make_pong = [this] { return this->control_state.pong(); };
+    events.make_agent_pong = [this]
+    {
+        auto pong = this->control_state.pong();
+        pong.set_state_offset(this->control_state.state()->agent_offset());
+        return pong;
+    };
     events.make_agent_state = [this] { return this->control_state.state()->agent_state(); };
     events.link_error = [this](std::string const& detail) {
         this->log.write(telemetry::events::link_error, {{"reason", detail}});
--- a/filbertroad/server/entry_links.cpp
+++ b/filbertroad/server/entry_links.cpp
@@ -282,7 +282,7 @@
 {
     if (message.has_ping())
     {
-        this->answer_ping(link, message.ping());
+        answer_ping(link, message.ping(), this->events.make_agent_pong());
     }
     else if (message.has_target())
     {
@@ -300,7 +300,7 @@
     this->events.entry_heard(entry);
     if (message.has_ping())
     {
-        this->answer_ping(link, message.ping());
+        answer_ping(link, message.ping(), this->events.make_pong());
     }
     else if (message.has_pong())
     {
@@ -316,11 +316,11 @@
     }
 }
 
-void entry_links::answer_ping(link_ptr const& link, wire::ping const& ping)
+void entry_links::answer_ping(link_ptr const& link, wire::ping const& ping, wire::pong pong)
 {
     wire::link_message answer;
-    *answer.mutable_pong() = this->events.make_pong();
-    answer.mutable_pong()->set_echoed_steady_ns(ping.sent_steady_ns());
+    pong.set_echoed_steady_ns(ping.sent_steady_ns());
+    *answer.mutable_pong() = std::move(pong);
     link->send(answer);
 }
 
--- a/filbertroad/server/entry_links.hpp
+++ b/filbertroad/server/entry_links.hpp
@@ -54,6 +54,8 @@
     std::function<void(model::process_id const&, wire::response&)> entry_response;
     /// The state and its age, for the answer to a ping.
     std::function<wire::pong()> make_pong;
+    /// The same for agents, with control_state::agent_offset().
+    std::function<wire::pong()> make_agent_pong;
     /// The state that a new agent needs.
     std::function<wire::agent_state()> make_agent_state;
     /// A peer broke the protocol or a connection failed.
@@ -127,7 +129,7 @@
                              wire::link_message& message);
     void dispatch_from_entry(link_ptr const& link, model::process_id const& entry,
                              wire::link_message& message);
-    void answer_ping(link_ptr const& link, wire::ping const& ping);
+    static void answer_ping(link_ptr const& link, wire::ping const& ping, wire::pong pong);
     void dial_due(base::steady_time now);
     void send_to_all(std::unordered_map<model::process_id, link_ptr> const& peers,
                      wire::link_message const& message);
