--- a/filbertroad/server/entry_links.hpp
+++ b/filbertroad/server/entry_links.hpp
@@ -52,9 +52,9 @@
     std::function<void(model::process_id const&, wire::pong const&)> entry_pong;
     std::function<void(model::process_id const&, wire::request const&)> entry_request;
     std::function<void(model::process_id const&, wire::response&)> entry_response;
-    /// The state and its age, for the answer to a ping of an entry.
+    /// The state and its age, for the answer to a ping.
     std::function<wire::pong()> make_pong;
-    /// The same for an agent, with the offset of the part of the state that agents have.
+    /// The same for agents, with control_state::agent_offset().
     std::function<wire::pong()> make_agent_pong;
     /// The state that a new agent needs.
     std::function<wire::agent_state()> make_agent_state;
