Do not report links that a planned stop closes

Cause: a planned stop of an agent wrote a warning for each of its links.

Change: agent_links tells lost links only while it is not stopping.

--- a/filbertroad/server/agent_links.cpp
+++ b/filbertroad/server/agent_links.cpp
@@ -284,7 +284,8 @@
         this->core.entry_unlinked(id, number);
     }
     connection.link->close();
-    if (connection.open || !this->backoffs.contains(connection.address))
+    bool const first_failure = !this->backoffs.contains(connection.address);
+    if (!this->stopped && (connection.open || first_failure))
     {
         this->events.lost(connection.address, reason);
     }
--- a/filbertroad/server/agent_links.hpp
+++ b/filbertroad/server/agent_links.hpp
@@ -37,7 +37,7 @@
     /// The core may have actions to perform.
     std::function<void()> core_changed;
     std::function<void(model::process_id const& entry, std::string const& address)> linked;
-    /// A link was closed, or the first of several calls of an address failed.
+    /// A link was lost, or the first of several calls of an address failed. Not called by stop().
     std::function<void(std::string const& address, std::string const& reason)> lost;
 };
 
