--- a/filbertroad/server/agent_target.cpp
+++ b/filbertroad/server/agent_target.cpp
@@ -63,12 +63,14 @@
     {
         return {target_answer::unknown, {}, "the answer does not name the task that was started"};
     }
+    if (response.status == 409 && reason == "cancelled")
+    {
+        return {target_answer::cancelled, std::move(response.body), std::move(reason)};
+    }
     if (response.status == 422)
     {
-        auto const answer =
-            reason == "cancelled" ? target_answer::cancelled : target_answer::failed;
         reason = reason.empty() ? "the target reported a failure" : reason;
-        return {answer, std::move(response.body), std::move(reason)};
+        return {target_answer::failed, std::move(response.body), std::move(reason)};
     }
     if (response.status == 503 && response.header("x-not-started") == "true")
     {
--- a/filbertroad/server/control_controller.cpp
+++ b/filbertroad/server/control_controller.cpp
@@ -273,6 +273,7 @@
     }
     bool const log_confirmed = this->last_complete_read &&
                                now - *this->last_complete_read <= control::confirmation_max_age;
+    this->membership.set_view_settled(this->confirmation.is_view_settled(now));
     for (auto const& record :
          this->membership.decide(this->current, log_confirmed, now, this->clock.system_now()))
     {
--- a/filbertroad/server/control_controller.hpp
+++ b/filbertroad/server/control_controller.hpp
@@ -105,6 +105,10 @@
     /// A peer's whole state, taken if it is newer.
     void state_received(wire::control_snapshot const& snapshot);
 
+    /// An agent refuses this entry as removed. Agents keep such a promise even if the view was
+    /// never replaced, so this entry has to join again as a new incarnation.
+    void fenced_by_agent() { this->removed = true; }
+
     void start_leaving();
     void finish_leaving();
     /// This entry was removed from the view while it was alive.
--- a/filbertroad/server/entry_core.cpp
+++ b/filbertroad/server/entry_core.cpp
@@ -96,7 +96,13 @@
     events.agent_message =
         [this](model::process_id const& agent, std::uint64_t link, wire::link_message& message)
     { this->agent_message(agent, link, message); };
-    events.entry_linked = [](wire::member const&) {};
+    events.entry_linked = [this](wire::member const& entry)
+    {
+        // Both sides learn at once how far the other has read.
+        wire::link_message pong;
+        *pong.mutable_pong() = this->control_state.pong();
+        this->links.send_to_entry(wire::to_model(entry.id()), pong);
+    };
     events.entry_unlinked = [this](model::process_id const& entry)
     { this->peers.link_closed(entry); };
     events.entry_heard = [this](model::process_id const& entry)
@@ -182,11 +188,13 @@
     if (message.has_promise())
     {
         this->control_state.promise_received(message.promise());
+        return;
     }
-    else
+    if (message.has_refused() && message.refused().reason() == wire::refusal_fenced)
     {
-        this->shard_objects.agent_message(agent, link, message);
+        this->control_state.fenced_by_agent();
     }
+    this->shard_objects.agent_message(agent, link, message);
 }
 
 void entry_core::respond(model::process_id const& entry, std::uint64_t id, wire::response response)
@@ -270,6 +278,8 @@
 
 void entry_core::probe_members()
 {
+    // A count from before a pause of this process must not be used for the answers.
+    this->control_state.set_linked_agents(this->links.linked_agent_count(control::agent_link_age));
     auto const sent_at = this->clock.steady_now();
     wire::request request;
     request.mutable_probe();
--- a/filbertroad/server/entry_links.cpp
+++ b/filbertroad/server/entry_links.cpp
@@ -41,10 +41,16 @@
 void entry_links::connect_members(std::span<wire::member const> members)
 {
     lock_guard const guard(this->lock);
+    // Before it has joined, an entry connects to all members, because they do not know it.
+    bool const is_member =
+        std::any_of(members.begin(), members.end(),
+                    [this](wire::member const& member)
+                    { return wire::to_model(member.id()) == wire::to_model(this->self.id()); });
     std::map<std::string, dialled_address> wanted;
     for (auto const& member : members)
     {
-        if (this->self.id().name() < member.id().name())
+        bool const is_own_name = member.id().name() == this->self.id().name();
+        if (!is_own_name && (!is_member || this->self.id().name() < member.id().name()))
         {
             wanted[member.link_address()] = this->addresses[member.link_address()];
         }
--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -24,7 +24,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = ROOT / os.environ.get("BUILD_DIR", "build")
-FILBERTROAD = BUILD / "bin" / "filbertroad"
+FILBERTROAD = BUILD / "filbertroad"
 OPERATOR_TOKEN = "local-operator-token"
 TEAM_TOKEN = "local-demo-token"
 # A caller gives up on a job after this long; every job must have ended by then.
