--- a/filbertroad/standin/fuzz_test.cpp
+++ b/filbertroad/standin/fuzz_test.cpp
@@ -20,7 +20,7 @@
 TEST(fuzz, mutated_job_answers_are_complete_only_with_every_own_result)
 {
     std::mt19937_64 random(21);
-    std::string const good = R"({"state":"complete","tasks":[{"index":0,"outcome":"succeeded",)"
+    std::string const good = R"({"state":"complete","results":[{"index":0,"outcome":"succeeded",)"
                              R"("body":"done k 0"},{"index":1,"outcome":"succeeded",)"
                              R"("body":"done k 1"}]})";
     for (int i = 0; i < 50'000; ++i)
--- a/filbertroad/standin/job_answer.cpp
+++ b/filbertroad/standin/job_answer.cpp
@@ -28,7 +28,7 @@
 /// Whether each task is present once, succeeded, and carries its own result.
 bool is_whole(json::object const& answer, std::string_view key, std::uint32_t tasks)
 {
-    auto const* const list = answer.if_contains("tasks");
+    auto const* const list = answer.if_contains("results");
     if (list == nullptr || !list->is_array() || list->get_array().size() != tasks)
     {
         return false;
--- a/filbertroad/standin/service_test.cpp
+++ b/filbertroad/standin/service_test.cpp
@@ -239,7 +239,7 @@
                       {
                           requests.push_back(request);
                           auto const key = request.path.substr(request.path.rfind('/') + 1);
-                          respond({.body = R"({"state":"complete","tasks":[{"index":0,)"
+                          respond({.body = R"({"state":"complete","results":[{"index":0,)"
                                            R"("outcome":"succeeded","body":"done )" +
                                            key + R"( 0"}]})",
                                    .fault = requests.size() == 1 ? net::answer_fault::no_answer
--- a/filbertroad/standin/standin_test.cpp
+++ b/filbertroad/standin/standin_test.cpp
@@ -190,7 +190,7 @@
 // Guards against crossed and partial answers that count as complete.
 TEST(job_answer, complete_needs_every_task_with_its_own_result)
 {
-    EXPECT_EQ(judge_answer(answer(R"({"state":"complete","tasks":[)"
+    EXPECT_EQ(judge_answer(answer(R"({"state":"complete","results":[)"
                                   R"({"index":1,"outcome":"succeeded","body":"done k 1"},)"
                                   R"({"index":0,"outcome":"succeeded","body":"ZG9uZSBrIDA="}]})"),
                            "k", 2),
@@ -204,9 +204,10 @@
                                     R"({"index":1,"outcome":"failed","body":"done k 1"}])",
                                     R"([1,2])", R"("")"})
     {
-        EXPECT_EQ(judge_answer(answer(R"({"state":"complete","tasks":)" + std::string(tasks) + "}"),
-                               "k", 2),
-                  answer_verdict::wrong)
+        EXPECT_EQ(
+            judge_answer(answer(R"({"state":"complete","results":)" + std::string(tasks) + "}"),
+                         "k", 2),
+            answer_verdict::wrong)
             << tasks;
     }
 }
