--- a/filbertroad/control/control_state.hpp
+++ b/filbertroad/control/control_state.hpp
@@ -10,7 +10,7 @@
 ///         auto const applied = state.apply(offset, record, clock.system_now());
 ///         if (applied.view_changed) publish_view(state);
 ///     }
-///     auto const owner = state.owner_of("kitrefill", 0);
+///     auto const owner = state.owner_of("pricing", 0);
 ///
 /// Not safe for several threads.
 
--- a/filbertroad/control/control_state_test.cpp
+++ b/filbertroad/control/control_state_test.cpp
@@ -305,13 +305,13 @@
     {
         auto* const pool = pools.add_pools();
         pool->set_name(name);
-        pool->set_service("kitrefill");
+        pool->set_service("pricing");
         pool->set_shards(2);
     }
     EXPECT_EQ(detail_of(pools), "");
     pools.mutable_pools(1)->set_shards(3);
     EXPECT_EQ(detail_of(pools),
-              "pools[1] \"slow\", shards: other pools of service \"kitrefill\" have 2");
+              "pools[1] \"slow\", shards: other pools of service \"pricing\" have 2");
     pools.mutable_pools(0)->set_shards(0);
     EXPECT_EQ(detail_of(pools), "pools[0] \"fast\", shards: must be 1 to 4096");
 
@@ -374,8 +374,8 @@
     std::size_t moved = 0;
     for (std::uint32_t shard = 0; shard < 64; ++shard)
     {
-        auto const old_owner = before.owner_of("kitrefill", shard)->id().name();
-        auto const new_owner = log.state.owner_of("kitrefill", shard)->id().name();
+        auto const old_owner = before.owner_of("pricing", shard)->id().name();
+        auto const new_owner = log.state.owner_of("pricing", shard)->id().name();
         EXPECT_NE(new_owner, "b");
         EXPECT_EQ(old_owner == "b", old_owner != new_owner);
         moved += old_owner == "b" ? 1 : 0;
@@ -407,14 +407,14 @@
     wire::control_record joined;
     auto* const agent = joined.mutable_agents_in()->add_agents();
     *agent->mutable_id() = make_id("g1", 1);
-    agent->set_service("kitrefill");
+    agent->set_service("pricing");
     log.append(joined);
     wire::control_record removed;
     *removed.mutable_agents_out()->add_agents() = make_id("g1", 1);
     EXPECT_TRUE(log.append(removed).agents_changed);
     auto const past = base::from_unix_ms(start_unix_ms);
-    EXPECT_EQ(log.state.agents_since("kitrefill", past).size(), 1U);
-    EXPECT_EQ(log.state.agents_since("kitrefill", past + std::chrono::hours(1)).size(), 0U);
+    EXPECT_EQ(log.state.agents_since("pricing", past).size(), 1U);
+    EXPECT_EQ(log.state.agents_since("pricing", past + std::chrono::hours(1)).size(), 0U);
     EXPECT_TRUE(log.state.agents().empty());
 }
 
--- a/filbertroad/control/region_simulation.hpp
+++ b/filbertroad/control/region_simulation.hpp
@@ -101,7 +101,7 @@
         agent.registration.mutable_id()->set_name(name);
         agent.registration.mutable_id()->set_incarnation(1);
         agent.registration.set_zone(zone);
-        agent.registration.set_service("kitrefill");
+        agent.registration.set_service("pricing");
     }
 
     void cut(std::string const& from, std::string const& to) { this->cuts.emplace(from, to); }
--- a/filbertroad/execution/agent_core_test.cpp
+++ b/filbertroad/execution/agent_core_test.cpp
@@ -43,7 +43,7 @@
     {
         wire::target_description target;
         target.set_name("t1");
-        target.set_service("kitrefill");
+        target.set_service("pricing");
         target.set_slots(8);
         target.set_leaving(leaving);
         this->core.target_announced(target, this->clock.steady_now());
--- a/filbertroad/model/job_key_test.cpp
+++ b/filbertroad/model/job_key_test.cpp
@@ -27,7 +27,7 @@
 
 TEST(is_valid_name, refuses_empty_long_and_odd_names)
 {
-    EXPECT_TRUE(is_valid_name("kitrefill.stock-1"));
+    EXPECT_TRUE(is_valid_name("pricing.stock-1"));
     EXPECT_FALSE(is_valid_name(""));
     EXPECT_FALSE(is_valid_name("a/b"));
     EXPECT_FALSE(is_valid_name(std::string(max_name + 1, 'x')));
--- a/filbertroad/net/link_benchmark.cpp
+++ b/filbertroad/net/link_benchmark.cpp
@@ -25,7 +25,7 @@
     start.set_payload(std::string(120, 'p'));
     start.set_job_digest(std::string(32, 'd'));
     start.set_task_count(270);
-    start.set_team("kitrefill");
+    start.set_team("pricing");
     start.set_timeout_ms(2'000);
     return message;
 }
--- a/filbertroad/scheduling/internal/target_learning.cpp
+++ b/filbertroad/scheduling/internal/target_learning.cpp
@@ -16,8 +16,9 @@
 /// are spread over a factor of twenty; at four, chance alone made targets look slow.
 constexpr double recent_speed_samples = 32;
 constexpr double sudden_change = 0.9;
-/// Weight of the assumption that a target is as fast as the others, in samples.
-constexpr double prior_samples = 2;
+/// A variance of speeds below this counts as none, so that equally fast targets are not waited for.
+constexpr double min_speed_variance = 1e-3;
+constexpr double noise_weight = 1.0 / 512;
 constexpr double max_route_samples = 512;
 constexpr double failure_weight = 1.0 / 8;
 /// A target is ejected only after this many results, above this rate, and when it fails this many
@@ -58,6 +59,8 @@
         learn(known.log_run_time, known.samples, max_route_samples, log_time - target.log_slowness);
     }
     auto const sample = log_time - known.log_run_time;
+    auto const residual = sample - target.log_slowness;
+    this->noise_variance += (residual * residual - this->noise_variance) * noise_weight;
     learn(target.log_slowness, target.samples, max_speed_samples, sample);
     learn(target.recent_log_slowness, target.recent_samples, recent_speed_samples, sample);
     if (target.recent_samples >= recent_speed_samples &&
@@ -129,25 +132,38 @@
 
 void target_pool::update_slowness(target_record& target)
 {
+    // The estimate is moved towards the mean by the share of its variance that is noise of the run
+    // times. With run times spread exponentially, a fixed weight of two samples let equally fast
+    // targets look up to 2.5 times faster than others, and tasks waited for them beside free slots.
     auto const relative = target.log_slowness - this->mean_log_slowness;
-    auto const samples = static_cast<double>(target.samples);
-    target.slowness = std::exp(relative * samples / (samples + prior_samples));
+    auto const noise = this->noise_variance / std::max(1U, target.samples);
+    auto const share = this->speed_variance < min_speed_variance
+                           ? 0.0
+                           : this->speed_variance / (this->speed_variance + noise);
+    target.slowness = std::exp(relative * share);
     target.speed = 1 / target.slowness;
 }
 
 void target_pool::update_all_slowness()
 {
     double sum = 0;
+    double squares = 0;
+    double noise = 0;
     double count = 0;
     for (auto const& target : this->targets)
     {
         if (target.samples > 0)
         {
             sum += target.log_slowness;
+            squares += target.log_slowness * target.log_slowness;
+            noise += this->noise_variance / target.samples;
             ++count;
         }
     }
     this->mean_log_slowness = sum / count;
+    // What the targets differ by beyond the noise of their estimates is difference in speed.
+    auto const between = squares / count - this->mean_log_slowness * this->mean_log_slowness;
+    this->speed_variance = std::max(0.0, between - noise / count);
     for (auto& target : this->targets)
     {
         this->update_slowness(target);
--- a/filbertroad/scheduling/internal/target_pool.hpp
+++ b/filbertroad/scheduling/internal/target_pool.hpp
@@ -186,6 +186,11 @@
     std::uint32_t free = 0;
     std::uint32_t holds = 0;
     std::uint32_t slots = 0;
+    /// Variance of the logarithm of run times around what route and target explain. Begins at the
+    /// value of run times that are spread exponentially.
+    double noise_variance = 1.6;
+    /// Variance of the logarithm of the targets' speeds, without that noise.
+    double speed_variance = 0;
     double mean_utilisation = 0;
     base::steady_time last_refresh{};
     std::uint64_t starts = 0;
--- a/filbertroad/server/agent_parts_test.cpp
+++ b/filbertroad/server/agent_parts_test.cpp
@@ -80,8 +80,7 @@
         auto const target = parse_announcement(body);
         return target ? std::string() : target.error().detail;
     };
-    EXPECT_EQ(detail(R"({"name":"t1","service":"kitrefill","address":"127.0.0.1:9","slots":8})"),
-              "");
+    EXPECT_EQ(detail(R"({"name":"t1","service":"pricing","address":"127.0.0.1:9","slots":8})"), "");
     EXPECT_EQ(detail("[]"), "body: must be a JSON object");
     EXPECT_EQ(detail(R"({"name":"t 1"})"), "name: must be 1 to 64 characters of [A-Za-z0-9_.-]");
     EXPECT_EQ(detail(R"({"name":"t1","service":"s","address":"x"})"), "address: must be IP:PORT");
--- a/filbertroad/server/agent_process_test.cpp
+++ b/filbertroad/server/agent_process_test.cpp
@@ -76,7 +76,7 @@
     void announce()
     {
         net::http_request request{.method = "POST", .path = "/v1/announce"};
-        request.body = R"({"name":"t1","service":"kitrefill","slots":2,"address":")" +
+        request.body = R"({"name":"t1","service":"pricing","slots":2,"address":")" +
                        address_of(this->target->port()) + "\"}";
         auto const answer =
             net::send_and_wait(address_of(this->agent->port()), std::move(request), 5s);
--- /dev/null
+++ b/filbertroad/server/internal/hosted_shard.hpp
@@ -0,0 +1,53 @@
+#ifndef FILBERTROAD_SERVER_INTERNAL_HOSTED_SHARD_HPP
+#define FILBERTROAD_SERVER_INTERNAL_HOSTED_SHARD_HPP
+
+/// A service shard of this entry with its lock, and the way in which every event reaches it. For
+/// the sources of shard_registry only.
+
+#include "filbertroad/server/shard_registry.hpp"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace filbertroad::server
+{
+
+struct shard_registry::hosted_shard
+{
+    explicit hosted_shard(submission::shard_owner owner) : owner(std::move(owner)) {}
+
+    std::mutex shard_lock;
+    submission::shard_owner owner;
+    std::unordered_map<std::uint64_t, shard_handler> waiting;
+    bool is_owner = false;
+    /// Newest link of each agent.
+    std::unordered_map<model::process_id, std::uint64_t> agent_links;
+    /// Zone of each target that was linked.
+    std::map<std::string, std::string> target_zones;
+};
+
+template <class Function>
+void shard_registry::run(shard_id const& id, hosted_shard& shard, Function const& function)
+{
+    std::vector<std::function<void()>> answers;
+    {
+        std::lock_guard const guard(shard.shard_lock);
+        auto const now = this->clock.steady_now();
+        shard.owner.set_confirmed(this->senders.is_confirmed(), now);
+        function(shard, now, this->clock.system_now());
+        this->perform(id, shard, answers);
+    }
+    for (auto const& answer : answers)
+    {
+        answer();
+    }
+}
+
+} // namespace filbertroad::server
+
+#endif
--- a/filbertroad/server/run_entry.cpp
+++ b/filbertroad/server/run_entry.cpp
@@ -1,10 +1,8 @@
 #include "filbertroad/server/entry_process.hpp"
+#include "filbertroad/server/role_telemetry.hpp"
 #include "filbertroad/server/run.hpp"
-#include "filbertroad/telemetry/event_log.hpp"
-#include "filbertroad/telemetry/span_writer.hpp"
 
 #include <cstdlib>
-#include <iostream>
 #include <string>
 #include <unistd.h>
 
@@ -13,26 +11,19 @@
 
 int run_entry(settings::entry_settings const& settings)
 {
-    auto log = telemetry::open_event_log(settings.event_log, settings.name);
-    if (!log)
+    auto telemetry = open_role_telemetry(settings.event_log, settings.span_file, settings.name);
+    if (!telemetry)
     {
-        std::cerr << "event_log: " << log.error().detail << '\n';
-        return EXIT_FAILURE;
-    }
-    auto spans = telemetry::span_writer::open(settings.span_file, settings.name);
-    if (!spans)
-    {
-        std::cerr << "span_file: " << spans.error().detail << '\n';
         return EXIT_FAILURE;
     }
     base::machine_clock const clock;
-    auto& events = *log.value();
+    auto& events = *telemetry->log;
     events.write(telemetry::events::process_started,
                  {{"role", "entry"}, {"pid", std::to_string(getpid())}, {"zone", settings.zone}});
     auto end = entry_end::removed;
     while (end == entry_end::removed)
     {
-        entry_process entry(settings, clock, events, *spans.value());
+        entry_process entry(settings, clock, events, *telemetry->spans);
         end = entry.run();
     }
     events.write(telemetry::events::process_stopped);
--- a/filbertroad/server/shard_registry.hpp
+++ b/filbertroad/server/shard_registry.hpp
@@ -6,7 +6,7 @@
 ///
 ///     shard_registry shards(clock, self, options, senders);
 ///     shards.apply_state(*state, linked_agents);
-///     shards.submit({"kitrefill", 0}, request, limits, [](shard_answer answer) { ... });
+///     shards.submit({"pricing", 0}, request, limits, [](shard_answer answer) { ... });
 ///
 /// Safe for several threads. Messages are sent while the shard's lock is held, so that two threads
 /// cannot reorder them; answers are passed on after it was released.
@@ -14,10 +14,10 @@
 #include "filbertroad/base/clock.hpp"
 #include "filbertroad/control/control_state.hpp"
 #include "filbertroad/server/entry_links.hpp"
+#include "filbertroad/server/route_resolution.hpp"
 #include "filbertroad/submission/shard_owner.hpp"
 
 #include <atomic>
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -34,16 +34,6 @@
 namespace filbertroad::server
 {
 
-struct shard_id
-{
-    std::string service;
-    std::uint32_t shard = 0;
-
-    // clang-tidy 14 mistakes the rewritten comparison for a null pointer.
-    // NOLINTNEXTLINE(modernize-use-nullptr)
-    friend auto operator<=>(shard_id const&, shard_id const&) = default;
-};
-
 /// The answer of a shard; a `process_id` names the member that holds the key.
 using shard_answer = std::variant<wire::job_report, wire::request_error, model::process_id>;
 using shard_handler = std::function<void(shard_answer)>;
@@ -149,21 +139,6 @@
     std::unordered_map<model::process_id, shard_id> agent_shards;
 };
 
-/// The shard that a target belongs to; empty if its service has no pool yet.
-[[nodiscard]] std::optional<shard_id> shard_of_target(control::control_state const& state,
-                                                      std::string const& service,
-                                                      std::string const& target);
-
-/// The shard and limits of a key of a route; empty if the route or its pool does not exist.
-struct route_target
-{
-    shard_id id;
-    submission::job_limits limits;
-};
-[[nodiscard]] std::optional<route_target> resolve_route(control::control_state const& state,
-                                                        std::string const& route,
-                                                        std::string const& key);
-
 } // namespace filbertroad::server
 
 #endif
--- /dev/null
+++ b/filbertroad/server/shard_registry_requests.cpp
@@ -0,0 +1,172 @@
+#include "filbertroad/server/internal/hosted_shard.hpp"
+#include "filbertroad/server/shard_registry.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertroad::server
+{
+
+template <class Function>
+bool shard_registry::request(shard_id const& id, shard_handler handler, Function const& function)
+{
+    auto const shard = this->find(id);
+    if (!shard)
+    {
+        return false;
+    }
+    auto const number = this->next_request++;
+    this->run(id, *shard,
+              [&](hosted_shard& hosted, base::steady_time now, base::system_time wall)
+              {
+                  hosted.waiting[number] = std::move(handler);
+                  function(hosted.owner, number, now, wall);
+              });
+    return true;
+}
+
+bool shard_registry::submit(shard_id const& id, wire::submit_request const& request,
+                            submission::job_limits const& limits, shard_handler handler)
+{
+    return this->request(id, std::move(handler),
+                         [&](auto& owner, std::uint64_t number, auto now, auto wall)
+                         { owner.submit(number, request, limits, now, wall); });
+}
+
+bool shard_registry::query(shard_id const& id, wire::job_query const& query, shard_handler handler)
+{
+    return this->request(id, std::move(handler),
+                         [&](auto& owner, std::uint64_t number, auto now, auto wall)
+                         { owner.query(number, query, now, wall); });
+}
+
+bool shard_registry::cancel(shard_id const& id, wire::job_query const& query, shard_handler handler)
+{
+    return this->request(id, std::move(handler),
+                         [&](auto& owner, std::uint64_t number, auto now, auto wall)
+                         { owner.cancel(number, query, now, wall); });
+}
+
+bool shard_registry::acknowledge(shard_id const& id, wire::job_query const& query,
+                                 shard_handler handler)
+{
+    return this->request(id, std::move(handler),
+                         [&](auto& owner, std::uint64_t number, auto now, auto wall)
+                         { owner.acknowledge(number, query, now, wall); });
+}
+
+wire::lookup_reply shard_registry::answer_lookup(wire::lookup const& lookup) const
+{
+    wire::lookup_reply result;
+    result.set_current(this->applied_version >= lookup.view());
+    result.set_held(this->find_holder(lookup.route(), lookup.key()).has_value());
+    return result;
+}
+
+std::optional<shard_id> shard_registry::find_holder(std::string const& route,
+                                                    std::string const& key) const
+{
+    wire::lookup lookup;
+    lookup.set_route(route);
+    lookup.set_key(key);
+    for (auto const& [id, shard] : this->all())
+    {
+        std::lock_guard const guard(shard->shard_lock);
+        if (shard->owner.answer_lookup(lookup).held())
+        {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+void shard_registry::tick()
+{
+    for (auto const& [id, shard] : this->all())
+    {
+        this->run(id, *shard,
+                  [](hosted_shard& hosted, base::steady_time now, base::system_time wall)
+                  { hosted.owner.tick(now, wall); });
+    }
+}
+
+bool shard_registry::is_idle() const
+{
+    auto const shards = this->all();
+    return std::all_of(shards.begin(), shards.end(),
+                       [](auto const& entry)
+                       {
+                           std::lock_guard const guard(entry.second->shard_lock);
+                           return entry.second->owner.is_idle() && entry.second->waiting.empty();
+                       });
+}
+
+std::vector<shard_id> shard_registry::shards() const
+{
+    std::vector<shard_id> result;
+    for (auto const& [id, shard] : this->all())
+    {
+        result.push_back(id);
+    }
+    return result;
+}
+
+wire::handover shard_registry::take_handover(shard_id const& id)
+{
+    auto const shard = this->find(id);
+    if (!shard)
+    {
+        return {};
+    }
+    std::lock_guard const guard(shard->shard_lock);
+    return shard->owner.take_handover();
+}
+
+void shard_registry::accept_handover(control::control_state const& state,
+                                     wire::handover const& jobs)
+{
+    std::map<shard_id, wire::handover> parts;
+    for (auto const& job : jobs.jobs())
+    {
+        if (auto const route = resolve_route(state, job.route(), job.key()))
+        {
+            *parts[route->id].add_jobs() = job;
+        }
+    }
+    for (auto const& request : jobs.requests())
+    {
+        if (auto const route = resolve_route(state, request.route(), request.key()))
+        {
+            *parts[route->id].add_requests() = request;
+        }
+    }
+    for (auto const& item : parts)
+    {
+        auto const& id = item.first;
+        auto const& part = item.second;
+        auto const shard = this->create(id);
+        this->run(id, *shard,
+                  [&part](hosted_shard& hosted, base::steady_time now, base::system_time wall)
+                  { hosted.owner.accept_handover(part, now, wall); });
+    }
+}
+
+void shard_registry::add_status(wire::status_reply& reply) const
+{
+    for (auto const& [id, shard] : this->all())
+    {
+        std::lock_guard const guard(shard->shard_lock);
+        auto const queue = shard->owner.queue_status();
+        if (!shard->is_owner && queue.queued() + queue.running() == 0)
+        {
+            continue;
+        }
+        *reply.add_queues() = queue;
+        for (auto const& target : shard->owner.target_status())
+        {
+            *reply.add_targets() = target;
+        }
+    }
+}
+
+} // namespace filbertroad::server
--- a/filbertroad/server/shard_registry_test.cpp
+++ b/filbertroad/server/shard_registry_test.cpp
@@ -33,7 +33,7 @@
         wire::control_record record;
         auto* const pool = record.mutable_table()->mutable_pools()->add_pools();
         pool->set_name("all");
-        pool->set_service("kitrefill");
+        pool->set_service("pricing");
         pool->set_shards(1);
         this->apply(record);
         auto* const route = record.mutable_table()->mutable_routes()->add_routes();
@@ -55,7 +55,7 @@
         auto* const agent = record.mutable_agents_in()->add_agents();
         *agent->mutable_id() = wire::to_wire(agent_id);
         agent->set_zone("khi-b");
-        agent->set_service("kitrefill");
+        agent->set_service("pricing");
         this->apply(record);
         this->shards.apply_state(this->state, {});
         // Keys are fresh from here on, and the target's slots have ramped up.
@@ -76,7 +76,7 @@
         *agent.hello.mutable_id() = wire::to_wire(agent_id);
         agent.hello.set_zone("khi-b");
         agent.hello.mutable_target()->set_name("target-1");
-        agent.hello.mutable_target()->set_service("kitrefill");
+        agent.hello.mutable_target()->set_service("pricing");
         agent.hello.mutable_target()->set_slots(2);
         agent.hello.mutable_target()->set_reachable(true);
         return agent;
--- a/filbertroad/submission/shard_owner.hpp
+++ b/filbertroad/submission/shard_owner.hpp
@@ -6,7 +6,7 @@
 /// out of take_actions(). No clock, thread, socket or random source of its own; the same events
 /// give the same actions.
 ///
-///     submission::shard_owner owner(self, "kitrefill", 0, options, std::move(queue));
+///     submission::shard_owner owner(self, "pricing", 0, options, std::move(queue));
 ///     owner.set_ownership(ownership, now, wall);
 ///     owner.agent_linked(hello, now);
 ///     owner.submit(request_number, job, limits, now, wall);
