--- a/filbertroad/cli/internal/process_commands.cpp
+++ b/filbertroad/cli/internal/process_commands.cpp
@@ -3,6 +3,7 @@
 #include "filbertroad/settings/settings.hpp"
 #include "filbertroad/telemetry/event_log.hpp"
 #include "filbertroad/telemetry/events.hpp"
+#include "platform/run.hpp"
 
 #include <algorithm>
 #include <array>
@@ -65,6 +66,16 @@
     return run_role<settings::agent_settings>(call, server::run_agent);
 }
 
+int dispatch_entry(invocation const& call)
+{
+    return run_role<settings::dispatch_entry_settings>(call, platform::run_entry);
+}
+
+int dispatch_agent(invocation const& call)
+{
+    return run_role<settings::dispatch_agent_settings>(call, platform::run_agent);
+}
+
 /// Prints the result of `check` for programs.
 void print_check_json(std::string const& file, settings::settings_fault const* fault,
                       std::ostream& out)
@@ -115,9 +126,8 @@
         call.outside.err << settings::to_string(loaded.error()) << "\n";
         return exit_usage;
     }
-    bool const is_entry = std::holds_alternative<settings::entry_settings>(loaded.value());
     call.outside.out << file.getValue() << ": valid settings of the role "
-                     << (is_entry ? "entry" : "agent") << "\n";
+                     << settings::role_of(loaded.value()) << "\n";
     return exit_ok;
 }
 
@@ -134,6 +144,8 @@
 constexpr std::array commands{
     command{"entry", "Runs an entry until SIGTERM.", entry},
     command{"agent", "Runs an agent until SIGTERM.", agent},
+    command{"dispatch-entry", "Runs an entry on a platform with leased runs.", dispatch_entry},
+    command{"dispatch-agent", "Runs an agent on a platform with leased runs.", dispatch_agent},
     command{"check", "Checks a settings file, or prints the settings or events.", check},
     command{"version", "Prints the version.", version},
 };
--- /dev/null
+++ b/filbertroad/dispatch/internal/run_table.cpp
@@ -0,0 +1,83 @@
+#include "filbertroad/dispatch/internal/run_table.hpp"
+
+#include <utility>
+
+namespace filbertroad::dispatch::internal
+{
+
+run_table::position run_table::position_of(agent_run const& run)
+{
+    return {run.order.priority, run.arrival, run.order.id.task};
+}
+
+agent_run& run_table::add(std::string_view entry, start_order order, base::steady_time now)
+{
+    auto& run = this->runs[order.id.task];
+    run.entry = entry;
+    run.target_run = order.id.run;
+    run.order = std::move(order);
+    run.arrival = ++this->arrivals;
+    run.arrived = now;
+    this->queue.insert(position_of(run));
+    return run;
+}
+
+agent_run* run_table::find(std::string_view task)
+{
+    auto const found = this->runs.find(task);
+    return found == this->runs.end() ? nullptr : &found->second;
+}
+
+agent_run const* run_table::find(std::string_view task) const
+{
+    auto const found = this->runs.find(task);
+    return found == this->runs.end() ? nullptr : &found->second;
+}
+
+void run_table::change(agent_run& run, run_state next)
+{
+    bool const was_queued = run.state == run_state::queued;
+    bool const is_queued = next == run_state::queued;
+    run.state = next;
+    if (was_queued && !is_queued)
+    {
+        this->queue.erase(position_of(run));
+        this->held_room += run.order.room;
+    }
+    else if (!was_queued && is_queued)
+    {
+        this->queue.insert(position_of(run));
+        this->held_room -= run.order.room;
+    }
+}
+
+void run_table::erase(std::string const& task)
+{
+    auto const found = this->runs.find(task);
+    if (found == this->runs.end())
+    {
+        return;
+    }
+    if (found->second.state == run_state::queued)
+    {
+        this->queue.erase(position_of(found->second));
+    }
+    else
+    {
+        this->held_room -= found->second.order.room;
+    }
+    this->runs.erase(found);
+}
+
+std::vector<std::string> run_table::queued() const
+{
+    std::vector<std::string> tasks;
+    tasks.reserve(this->queue.size());
+    for (auto const& place : this->queue)
+    {
+        tasks.push_back(place.task);
+    }
+    return tasks;
+}
+
+} // namespace filbertroad::dispatch::internal
--- /dev/null
+++ b/filbertroad/dispatch/internal/run_table.hpp
@@ -0,0 +1,108 @@
+#ifndef FILBERTROAD_DISPATCH_INTERNAL_RUN_TABLE_HPP
+#define FILBERTROAD_DISPATCH_INTERNAL_RUN_TABLE_HPP
+
+/// Runs of an agent, one for each task, with the room that they hold.
+///
+///     run_table runs;
+///     auto& run = runs.add(entry, order, now);
+///     runs.change(run, run_state::starting);
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/dispatch/messages.hpp"
+
+#include <array>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace filbertroad::dispatch::internal
+{
+
+enum class run_state
+{
+    queued,
+    /// The start is sent and not answered.
+    starting,
+    running,
+    /// A stop is sent; holds its room until the end is proved.
+    stopping,
+};
+
+struct agent_run
+{
+    std::string entry;
+    start_order order;
+    run_state state = run_state::queued;
+    std::uint64_t arrival = 0;
+    base::steady_time arrived{};
+    /// Number under which the target knows the run; above the ordered one after a stale start.
+    std::uint32_t target_run = 0;
+    base::steady_time started{};
+    /// Whether the target has answered or listed the start.
+    bool is_known_started = false;
+    /// When the target answered the start; lists asked for later must name the run.
+    base::steady_time start_answered{};
+    base::steady_time stop_first_sent{};
+    base::steady_time stop_sent{};
+    bool is_stop_answered = false;
+    base::steady_time stop_answered{};
+    std::string stop_reason;
+};
+
+class run_table
+{
+public:
+    /// Precondition: no run of the same task is present.
+    agent_run& add(std::string_view entry, start_order order, base::steady_time now);
+    [[nodiscard]] agent_run* find(std::string_view task);
+    [[nodiscard]] agent_run const* find(std::string_view task) const;
+    void change(agent_run& run, run_state next);
+    void erase(std::string const& task);
+
+    [[nodiscard]] bool empty() const { return this->runs.empty(); }
+    /// Room of all runs that are not queued.
+    [[nodiscard]] model::room held() const { return this->held_room; }
+    /// Queued tasks in the order in which they go: by priority, then by arrival.
+    [[nodiscard]] std::vector<std::string> queued() const;
+    [[nodiscard]] bool has_queued() const { return !this->queue.empty(); }
+
+    template <class Use>
+    void for_each(Use use)
+    {
+        for (auto& [task, run] : this->runs)
+        {
+            use(run);
+        }
+    }
+
+    template <class Use>
+    void for_each(Use use) const
+    {
+        for (auto const& [task, run] : this->runs)
+        {
+            use(run);
+        }
+    }
+
+private:
+    struct position
+    {
+        std::uint32_t priority;
+        std::uint64_t arrival;
+        std::string task;
+
+        friend auto operator<=>(position const&, position const&) = default;
+    };
+
+    static position position_of(agent_run const& run);
+
+    std::map<std::string, agent_run, std::less<>> runs;
+    std::set<position> queue;
+    model::room held_room;
+    std::uint64_t arrivals = 0;
+};
+
+} // namespace filbertroad::dispatch::internal
+
+#endif
--- /dev/null
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -0,0 +1,206 @@
+#ifndef FILBERTROAD_DISPATCH_JOB_DISPATCHER_HPP
+#define FILBERTROAD_DISPATCH_JOB_DISPATCHER_HPP
+
+/// Decisions of an entry: which jobs are accepted, which agent gets which task, when a task is
+/// started again, and when a job's answer is known. The entry that received a job owns it until
+/// its answer; other entries do not know it. No input or output: the process feeds events and
+/// carries out the actions that take_actions() returns.
+///
+///     job_dispatcher dispatcher(clock, {});
+///     dispatcher.agent_connected({"agent-1", 1});
+///     dispatcher.status_received("agent-1", status);
+///     dispatcher.submit(std::move(job));
+///     for (auto& action : dispatcher.take_actions()) carry_out(action);
+///
+/// A task is started again only when its earlier run is proved over: by the agent's report, by a
+/// new incarnation of the agent, or because the agent's authority and its target's lease are over.
+///
+/// Not safe for several threads.
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/dispatch/internal/agent_view.hpp"
+#include "filbertroad/dispatch/messages.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace filbertroad::dispatch
+{
+
+struct dispatch_limits
+{
+    /// Silence of an agent after which its runs for this entry are being stopped, so that they
+    /// cannot succeed any more; `agent_limits::authority`.
+    milliseconds authority{600};
+    /// Silence of an agent after which its runs are over: authority, patience with stops and a
+    /// lease on the slowest clock of `agent_limits`, and 50 ms for the end of a run.
+    milliseconds runs_over_after{1'565};
+    /// Share of the latency objective for which a job may wait for a target that takes work.
+    double waiting_share = 0.25;
+    /// Jobs held at the same time; more are refused.
+    std::size_t max_jobs = 20'000;
+    /// A run is given up as stalled after this multiple of its expected time, and `stall_slack`.
+    double stall_factor = 2.5;
+    milliseconds stall_slack{150};
+    /// Time between entry and target and back that is expected beside waiting and running.
+    milliseconds hop_time{4};
+    /// Wait in an agent's queue beyond the expected one, after which a task is placed anew.
+    milliseconds queue_slack{100};
+    /// When a caller may come back after a refusal.
+    std::chrono::seconds retry_after{1};
+};
+
+/// Tasks of a job that are alike.
+struct job_step
+{
+    std::uint32_t count = 0;
+    model::room room;
+    milliseconds estimate{};
+    /// Earlier steps, by position, whose tasks must all have succeeded.
+    std::vector<std::uint32_t> after;
+};
+
+struct job_request
+{
+    /// Unique name; task names begin with it.
+    std::string key;
+    std::string route;
+    std::string service;
+    std::string payload;
+    std::uint32_t priority = 0;
+    std::uint32_t max_attempts = 1;
+    double stretch = 1;
+    milliseconds target_latency{};
+    /// Time from now in which the caller waits for the answer.
+    milliseconds time_budget{};
+    std::vector<job_step> steps;
+};
+
+enum class job_outcome
+{
+    completed,
+    /// Some task has run or may have run, and the job cannot be completed.
+    failed,
+    /// No task has run, and none will.
+    not_run,
+};
+
+[[nodiscard]] std::string_view to_string(job_outcome outcome);
+
+struct send_start
+{
+    std::string agent;
+    start_order order;
+};
+
+struct send_cancel
+{
+    std::string agent;
+    run_id id;
+};
+
+struct send_acknowledgement
+{
+    std::string agent;
+    run_id id;
+};
+
+/// All runs that an agent still has for this entry, after its link came up again.
+struct send_resume
+{
+    std::string agent;
+    std::vector<start_order> orders;
+};
+
+struct answer_job
+{
+    std::string key;
+    job_outcome outcome = job_outcome::failed;
+    std::string reason;
+    /// Set for jobs that were not run.
+    std::optional<std::chrono::seconds> retry_after;
+    milliseconds held{};
+    std::uint32_t runs = 0;
+};
+
+using dispatch_action =
+    std::variant<send_start, send_cancel, send_acknowledgement, send_resume, answer_job>;
+
+class job_dispatcher
+{
+public:
+    job_dispatcher(base::clock const& clock, dispatch_limits limits);
+    ~job_dispatcher();
+    job_dispatcher(job_dispatcher const&) = delete;
+    job_dispatcher& operator=(job_dispatcher const&) = delete;
+
+    /// Takes a job. A job whose key is present already replaces nothing: the answer of the present
+    /// one serves both. The answer comes as an action, at once if the job is refused.
+    void submit(job_request request);
+    /// The caller has left, or cancels: the job's runs are stopped. Returns whether it was present.
+    bool cancel(std::string_view key);
+    [[nodiscard]] bool holds(std::string_view key) const;
+
+    void agent_connected(process_identity const& agent);
+    void agent_disconnected(std::string_view agent);
+    void status_received(std::string_view agent, target_status const& status);
+    void run_ended(std::string_view agent, run_report const& report);
+    void tick();
+
+    [[nodiscard]] std::vector<dispatch_action> take_actions();
+    [[nodiscard]] std::size_t job_count() const { return this->jobs.size(); }
+    /// Jobs of `route` of which no task has been started.
+    [[nodiscard]] std::size_t waiting_jobs(std::string_view route) const;
+    [[nodiscard]] std::size_t open_agents() const;
+
+private:
+    enum class task_state;
+    struct task;
+    struct job;
+    struct task_place
+    {
+        job* owner = nullptr;
+        std::size_t index = 0;
+    };
+    struct choice
+    {
+        std::string const* agent = nullptr;
+        milliseconds wait{};
+        milliseconds run{};
+    };
+
+    [[nodiscard]] std::optional<choice> choose(job const& of, task const& item) const;
+    [[nodiscard]] bool is_crowded_out(base::steady_time now) const;
+    void release_steps(job& of);
+    void place_waiting(job& of);
+    void send(job& of, task& item, choice const& chosen);
+    /// Whether it is certain that no task of the job has run.
+    [[nodiscard]] static bool is_not_run(job const& of);
+    /// Ends a job that cannot be completed; tells the caller whether a task may have run.
+    void give_up(job& of, std::string_view reason);
+    bool refuse_if_too_late(job& of);
+    void settle(job& of);
+    void finish(job& of, job_outcome outcome, std::string_view reason);
+    void check_job(job& of);
+    void check_task(job& of, task& item);
+    void take_end(job& of, task& item, std::string_view agent, run_report const& report);
+    void runs_of_agent_over(std::string_view agent, std::string_view reason);
+
+    base::clock const& clock;
+    dispatch_limits limits;
+    std::map<std::string, internal::agent_view, std::less<>> agents;
+    std::map<std::string, std::unique_ptr<job>, std::less<>> jobs;
+    std::unordered_map<std::string, task_place> tasks;
+    std::vector<dispatch_action> actions;
+};
+
+} // namespace filbertroad::dispatch
+
+#endif
--- /dev/null
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -0,0 +1,272 @@
+#ifndef FILBERTROAD_DISPATCH_RUN_AGENT_HPP
+#define FILBERTROAD_DISPATCH_RUN_AGENT_HPP
+
+/// Decisions of the agent beside one target: which run starts when, and when a run is proved over.
+/// The agent is the only caller of its target, so the limit of room, the evacuation of a zone and
+/// one run of a task at a time are decided here. No input or output: the process feeds events and
+/// carries out the actions that take_actions() returns.
+///
+///     run_agent agent(clock, "khi-b", limits);
+///     agent.target_announced(announcement);
+///     agent.entry_connected({"entry-1", 1});
+///     agent.start_ordered("entry-1", order);
+///     for (auto& action : agent.take_actions()) carry_out(action);
+///
+/// Authority: a run starts, and stays, only while its entry has echoed a stamp of this agent that
+/// is younger than `agent_limits::authority`. An entry that hears nothing from the agent can so
+/// tell, without asking, when all of its runs here are over.
+///
+/// Not safe for several threads.
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/dispatch/internal/run_table.hpp"
+#include "filbertroad/dispatch/internal/speed_estimate.hpp"
+#include "filbertroad/dispatch/messages.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace filbertroad::dispatch
+{
+
+/// Periods that agents and entries agree on. They are constants of the protocol between them:
+/// `time_until_runs_are_over` of the entry is derived from them.
+struct agent_limits
+{
+    /// Age of an echoed stamp up to which an entry's runs may start and stay.
+    milliseconds authority{600};
+    /// Lease of the target's runs. Short, because a run on a frozen agent's target is only over
+    /// once its lease is; long enough for two renewals to be lost.
+    milliseconds lease{600};
+    /// Time after which an unanswered start or stop is followed by a (further) stop.
+    milliseconds order_timeout{60};
+    /// Time that a target may take to end a run that it was told to stop.
+    milliseconds stop_time{50};
+    /// An unproved stop of an entry without authority ends the renewal of the lease after this.
+    milliseconds stop_patience{300};
+    /// Slowest clock of a target, as a share of true time.
+    double slowest_clock = 0.98;
+    /// Pause in starts after the target refused one as unhealthy.
+    milliseconds unhealthy_pause{200};
+    /// Silence of the target after which its lease is no longer renewed and nothing is started.
+    milliseconds contact_timeout{400};
+    /// Time after which a session without authority and runs is forgotten.
+    milliseconds session_retention{30'000};
+};
+
+/// What a target says of itself.
+struct target_announcement
+{
+    std::string name;
+    /// Start of the target's process in Unix milliseconds; tells a restart under the same name.
+    std::uint64_t born = 0;
+    std::string service;
+    model::room capacity;
+    bool draining = false;
+    std::uint64_t sequence = 0;
+};
+
+/// An entry of a target's list of running runs.
+struct listed_run
+{
+    run_id id;
+};
+
+enum class listed_end
+{
+    done,
+    failed,
+    stopped,
+    /// Its lease was over.
+    lapsed,
+    /// Another reason of the target.
+    other,
+};
+
+/// An end that the target lists until it is acknowledged by number.
+struct listed_finish
+{
+    std::uint64_t number = 0;
+    run_id id;
+    listed_end end = listed_end::other;
+};
+
+/// Answer of the target to a renewal of its lease.
+struct run_list
+{
+    std::uint64_t born = 0;
+    std::uint64_t clock_ms = 0;
+    std::vector<listed_run> running;
+    std::vector<listed_finish> finished;
+};
+
+/// What a renewal of the lease carries.
+struct renewal
+{
+    std::uint64_t fencing_token = 0;
+    std::uint64_t last_seen = 0;
+    /// Absent while the target's clock is unknown, or when runs are to lapse.
+    std::optional<std::uint64_t> lease_until_ms;
+    /// When the renewal was made; handed back with the answer.
+    base::steady_time made{};
+};
+
+enum class start_answer
+{
+    accepted,
+    /// A higher fencing token was seen by the target.
+    fenced,
+    /// The number of the run is not higher than one that ended there.
+    stale_run,
+    /// The lease in the order was over on the target's clock.
+    late,
+    no_room,
+    /// The target refuses while it is unhealthy; nothing was done.
+    unhealthy,
+    /// Refused for another reason; nothing was done.
+    rejected,
+    /// No answer: it may have been carried out, or may still be.
+    none,
+};
+
+struct start_run
+{
+    run_id id;
+    std::string payload;
+    std::uint64_t lease_until_ms = 0;
+    std::uint64_t fencing_token = 0;
+};
+
+struct stop_run
+{
+    run_id id;
+    std::uint64_t fencing_token = 0;
+};
+
+struct send_report
+{
+    std::string entry;
+    run_report report;
+};
+
+/// Load or readiness has changed; a status goes to the entries.
+struct publish_status
+{
+};
+
+using agent_action = std::variant<start_run, stop_run, send_report, publish_status>;
+
+class run_agent
+{
+public:
+    /// `fencing_token` must be higher than that of an earlier agent of the same target.
+    run_agent(base::clock const& clock, std::string zone, agent_limits limits,
+              std::uint64_t fencing_token);
+
+    /// A late announcement of an earlier process or sequence has no effect.
+    void target_announced(target_announcement const& announcement);
+    /// The target has left for good.
+    void target_removed(std::string_view name);
+
+    /// A link to an entry is up. A new incarnation ends the runs of the earlier one.
+    void entry_connected(process_identity const& entry);
+    void entry_confirmed(std::string_view entry, std::uint64_t echoed_stamp_ms);
+    void start_ordered(std::string_view entry, start_order order);
+    /// Runs that the entry still wants, after its link came up again. Others are stopped.
+    void runs_resumed(std::string_view entry, std::vector<start_order> orders);
+    void cancel_ordered(std::string_view entry, run_id const& id);
+    void report_acknowledged(std::string_view entry, run_id const& id);
+
+    void start_answered(run_id const& id, start_answer answer);
+    /// `answered` is false if the target gave no answer.
+    void stop_answered(run_id const& id, bool answered);
+
+    /// The next renewal of the lease, to be sent to the target.
+    [[nodiscard]] renewal make_renewal();
+    void renewal_answered(renewal const& sent, run_list const& list);
+    void renewal_fenced();
+
+    void set_zone_out(bool is_out);
+    /// Planned stop: queued runs are returned, running ones end.
+    void begin_stop();
+    void tick();
+
+    [[nodiscard]] std::vector<agent_action> take_actions();
+    [[nodiscard]] target_status make_status(std::string_view entry) const;
+    /// Whether every run of an earlier agent is over, so that entries may be told of this one.
+    [[nodiscard]] bool is_settled() const { return this->settled; }
+    /// Whether nothing runs or waits.
+    [[nodiscard]] bool is_idle() const { return this->runs.empty(); }
+    [[nodiscard]] bool has_target() const { return this->target.has_value(); }
+
+private:
+    using entry_run = internal::agent_run;
+
+    struct entry_session
+    {
+        std::uint64_t incarnation = 0;
+        /// Until when runs may start; from the newest echoed stamp.
+        base::steady_time authority_until{};
+        std::uint64_t starts_seen = 0;
+        std::map<std::string, run_report> unacknowledged;
+    };
+
+    /// Why nothing may be started; empty if starts are possible.
+    [[nodiscard]] std::string_view closed_reason() const;
+    [[nodiscard]] bool is_reachable() const;
+    [[nodiscard]] bool has_authority(std::string_view entry) const;
+    /// End of a lease that begins now, on the target's clock; it is taken into account in
+    /// `leases_over_at`.
+    std::uint64_t grant_lease();
+    void enqueue(std::string_view entry, start_order order);
+    void start_queued();
+    void start(entry_run& run);
+    void stop(entry_run& run, std::string_view reason);
+    void return_queue(std::string_view reason);
+    void end_run(std::string const& task, run_end end, std::string_view reason);
+    void expire_entries();
+    void expire_queued();
+    void expire_leases();
+    void repeat_stops();
+    void send_stop(entry_run& run);
+    void target_restarted();
+    void take_finished(listed_finish const& finish);
+    void compare_with_list(renewal const& sent, run_list const& list);
+    void stop_unknown(run_list const& list);
+    void requeue(entry_run& run);
+    void note_change() { this->status_changed = true; }
+
+    base::clock const& clock;
+    std::string zone;
+    agent_limits limits;
+    std::uint64_t fencing_token;
+
+    std::optional<target_announcement> target;
+    std::uint64_t listed_born = 0;
+    /// Newest clock of the target and when it was received.
+    std::uint64_t target_clock_ms = 0;
+    base::steady_time target_clock_at{};
+    /// Time by which every lease granted so far is over on the target's clock.
+    base::steady_time leases_over_at{};
+    /// The target runs what this agent did not start; its room is unknown.
+    bool has_unknown_runs = false;
+    std::uint64_t last_seen = 0;
+    bool settled = false;
+    bool zone_out = false;
+    bool stopping = false;
+    base::steady_time paused_until{};
+
+    internal::run_table runs;
+    internal::speed_estimate speed;
+    std::map<std::string, entry_session, std::less<>> sessions;
+    std::vector<agent_action> actions;
+    bool status_changed = false;
+};
+
+} // namespace filbertroad::dispatch
+
+#endif
--- a/filbertroad/net/http.hpp
+++ b/filbertroad/net/http.hpp
@@ -19,6 +19,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace filbertroad::net
@@ -30,6 +31,27 @@
     std::string value;
 };
 
+/// Tells the handler of a request that its client has closed the connection before the answer.
+/// Used on the connection's strand only.
+class client_watch
+{
+public:
+    /// Calls `handler` once when the client has gone. Replaces an earlier handler.
+    void on_gone(std::function<void()> handler) { this->gone_handler = std::move(handler); }
+    /// The answer is on its way; the handler is not called any more.
+    void end() { this->gone_handler = nullptr; }
+    void report_gone()
+    {
+        if (auto const handler = std::exchange(this->gone_handler, nullptr))
+        {
+            handler();
+        }
+    }
+
+private:
+    std::function<void()> gone_handler;
+};
+
 struct http_request
 {
     std::string method{};
@@ -39,6 +61,8 @@
     std::string query{};
     std::vector<http_header> headers{};
     std::string body{};
+    /// Set for requests that a server took.
+    std::shared_ptr<client_watch> client{};
 
     /// Value of a header, compared without case; empty if absent.
     [[nodiscard]] std::string_view header(std::string_view name) const;
@@ -63,6 +87,8 @@
     std::string content_type = "application/json";
     std::string body{};
     answer_fault fault = answer_fault::none;
+    /// The connection takes no further request; the client is told so.
+    bool close = false;
 
     [[nodiscard]] std::string_view header(std::string_view name) const;
 };
@@ -85,8 +111,7 @@
 /// call answers 500.
 using http_responder = std::function<void(http_response)>;
 
-/// Called on the connection's strand. `closed` of the request's connection is not observable; a
-/// late answer to a closed connection is dropped.
+/// Called on the connection's strand. A late answer to a closed connection is dropped.
 using http_handler = std::function<void(http_request, http_responder)>;
 
 class http_server
--- a/filbertroad/net/internal/http_connection.cpp
+++ b/filbertroad/net/internal/http_connection.cpp
@@ -382,16 +382,60 @@
         auto const pending = std::make_shared<pending_answer>(this->weak_from_this());
         // The fields stay in the parser, which decides on keep-alive when the answer is sent.
         auto request = to_request(this->parser->get());
+        this->watch = std::make_shared<client_watch>();
+        request.client = this->watch;
+        this->watch_client();
         this->hub->handler(std::move(request), [pending](http_response response)
                            { pending->send(std::move(response)); });
     }
 
+    /// Notices a client that closes or resets the connection while its request is handled. Over TLS
+    /// the end of the stream is not visible at the socket and is noticed with the answer.
+    void watch_client()
+    {
+        if (this->tls)
+        {
+            return;
+        }
+        this->socket.async_wait(tcp::socket::wait_read,
+                                [self = this->shared_from_this()](error_code code)
+                                { self->client_readable(code); });
+    }
+
+    void client_readable(error_code code)
+    {
+        if (code == asio::error::operation_aborted || this->now_in != phase::handling)
+        {
+            return;
+        }
+        error_code peek_code;
+        char byte = 0;
+        this->socket.non_blocking(true, peek_code);
+        auto const size =
+            this->socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peek_code);
+        bool const is_next_request = !code && !peek_code && size != 0;
+        if (is_next_request || peek_code == asio::error::would_block)
+        {
+            return;
+        }
+        auto const gone = std::exchange(this->watch, nullptr);
+        this->close();
+        gone->report_gone();
+    }
+
     void write(http_response response, bool keep_alive)
     {
         if (this->now_in == phase::closed)
         {
             return;
         }
+        if (auto const ended = std::exchange(this->watch, nullptr))
+        {
+            ended->end();
+            error_code ignored;
+            this->socket.cancel(ignored);
+        }
+        keep_alive = keep_alive && !response.close;
         if (response.fault == answer_fault::no_answer)
         {
             this->close();
@@ -490,6 +534,7 @@
     clock::time_point deadline = clock::time_point::max();
     bool timed_out = false;
     bool registered = false;
+    std::shared_ptr<client_watch> watch;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> message;
--- /dev/null
+++ b/filbertroad/node/agent_node.hpp
@@ -0,0 +1,110 @@
+#ifndef FILBERTROAD_NODE_AGENT_NODE_HPP
+#define FILBERTROAD_NODE_AGENT_NODE_HPP
+
+/// The agent process without its doors: joins the run agent with its links to entries and with the
+/// target beside it. It takes no decision of its own.
+///
+///     auto agent = agent_node::builder().name("agent-1").zone("khi-b").seeds({"10.0.0.1:7720"})
+///                      .build(io, clock, target, log, metrics);
+///     agent->open();
+///     agent->target_announced(announcement);
+///
+/// All calls and callbacks on the thread of the io_context; only one thread may run it.
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/dispatch/run_agent.hpp"
+#include "filbertroad/telemetry/event_log.hpp"
+#include "filbertroad/telemetry/metrics.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace filbertroad::node
+{
+
+/// Answer to a renewal: the list, or nothing if none came.
+struct renewal_answer
+{
+    std::optional<dispatch::run_list> list;
+    /// The target has seen a higher fencing token.
+    bool is_fenced = false;
+};
+
+/// Calls of the target. Each handler is called once, also when no answer comes in time.
+class target_port
+{
+public:
+    virtual ~target_port() = default;
+    virtual void start(dispatch::start_run const& order,
+                       std::function<void(dispatch::start_answer)> handler) = 0;
+    virtual void stop(dispatch::stop_run const& order, std::function<void(bool)> handler) = 0;
+    /// Renews the lease; the target answers when a run ends, and after `wait` at the latest.
+    virtual void renew(dispatch::renewal const& order, dispatch::milliseconds wait,
+                       std::function<void(renewal_answer)> handler) = 0;
+};
+
+class agent_node
+{
+public:
+    class builder;
+
+    virtual ~agent_node() = default;
+
+    /// Starts the timers, the renewals and the links.
+    virtual void open() = 0;
+    virtual void target_announced(dispatch::target_announcement const& announcement) = 0;
+    virtual void target_removed(std::string const& name) = 0;
+    /// An entry that the platform's records name.
+    virtual void add_entry(dispatch::entry_address const& entry) = 0;
+    /// Planned stop; `handler` is called when nothing runs any more.
+    virtual void stop(std::function<void()> handler) = 0;
+    [[nodiscard]] virtual bool has_entry() const = 0;
+};
+
+class agent_node::builder
+{
+public:
+    builder& name(std::string value)
+    {
+        this->own_name = std::move(value);
+        return *this;
+    }
+
+    builder& zone(std::string value)
+    {
+        this->own_zone = std::move(value);
+        return *this;
+    }
+
+    /// Link addresses of entries to connect to first; they name the others.
+    builder& seeds(std::vector<std::string> value)
+    {
+        this->seed_links = std::move(value);
+        return *this;
+    }
+
+    builder& limits(dispatch::agent_limits value)
+    {
+        this->agent_limits = value;
+        return *this;
+    }
+
+    [[nodiscard]] std::unique_ptr<agent_node> build(boost::asio::io_context& io,
+                                                    base::clock const& clock, target_port& target,
+                                                    telemetry::event_log& log,
+                                                    telemetry::metrics_registry& metrics) const;
+
+private:
+    std::string own_name;
+    std::string own_zone;
+    std::vector<std::string> seed_links;
+    dispatch::agent_limits agent_limits;
+};
+
+} // namespace filbertroad::node
+
+#endif
--- /dev/null
+++ b/filbertroad/node/frame.cpp
@@ -0,0 +1,324 @@
+#include "filbertroad/node/frame.hpp"
+
+#include <algorithm>
+
+namespace filbertroad::node
+{
+namespace
+{
+
+using dispatch::milliseconds;
+
+void write(dispatch::run_id const& id, wire::run_ref& out)
+{
+    out.set_task(id.task);
+    out.set_run(id.run);
+}
+
+dispatch::run_id read(wire::run_ref const& in)
+{
+    return {in.task(), in.run()};
+}
+
+void write(model::room const& room, wire::task_room& out)
+{
+    out.set_cpu_milli(room.cpu);
+    out.set_memory_mb(room.memory_mb);
+    out.set_accelerators(room.accelerators);
+}
+
+model::room read(wire::task_room const& in)
+{
+    return {in.cpu_milli(), in.memory_mb(), in.accelerators()};
+}
+
+std::uint32_t to_wire(milliseconds time)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(time.count(), 0));
+}
+
+void write(dispatch::start_order const& order, wire::run_order& out)
+{
+    write(order.id, *out.mutable_id());
+    out.set_payload(order.payload);
+    write(order.room, *out.mutable_room());
+    out.set_estimate_ms(to_wire(order.estimate));
+    out.set_priority(order.priority);
+    out.set_useful_for_ms(to_wire(order.useful_for));
+}
+
+dispatch::start_order read(wire::run_order const& in)
+{
+    return {.id = read(in.id()),
+            .payload = in.payload(),
+            .room = read(in.room()),
+            .estimate = milliseconds(in.estimate_ms()),
+            .priority = in.priority(),
+            .useful_for = milliseconds(in.useful_for_ms())};
+}
+
+wire::run_outcome to_wire(dispatch::run_end end)
+{
+    switch (end)
+    {
+    case dispatch::run_end::succeeded:
+        return wire::run_outcome_succeeded;
+    case dispatch::run_end::failed:
+        return wire::run_outcome_failed;
+    case dispatch::run_end::not_started:
+        return wire::run_outcome_not_started;
+    case dispatch::run_end::lost:
+        break;
+    }
+    return wire::run_outcome_lost;
+}
+
+/// An outcome of a newer version counts as lost: the run may have begun and has no result.
+dispatch::run_end read(wire::run_outcome in)
+{
+    switch (in)
+    {
+    case wire::run_outcome_succeeded:
+        return dispatch::run_end::succeeded;
+    case wire::run_outcome_failed:
+        return dispatch::run_end::failed;
+    case wire::run_outcome_not_started:
+        return dispatch::run_end::not_started;
+    default:
+        return dispatch::run_end::lost;
+    }
+}
+
+void write(dispatch::run_report const& report, wire::run_outcome_report& out)
+{
+    write(report.id, *out.mutable_id());
+    out.set_outcome(to_wire(report.end));
+    out.set_reason(report.reason);
+    out.set_elapsed_ms(to_wire(report.elapsed));
+}
+
+dispatch::run_report read(wire::run_outcome_report const& in)
+{
+    return {read(in.id()), read(in.outcome()), in.reason(), milliseconds(in.elapsed_ms())};
+}
+
+void write(dispatch::target_status const& status, wire::agent_load& out)
+{
+    out.set_stamp_ms(status.stamp_ms);
+    out.set_snapshot_offset(status.snapshot_offset);
+    out.set_starts_seen(status.starts_seen);
+    out.set_accepting(status.accepting);
+    out.set_service(status.service);
+    out.set_zone(status.zone);
+    write(status.capacity, *out.mutable_capacity());
+    write(status.free, *out.mutable_free());
+    out.set_running_work(status.running_work);
+    for (double const work : status.queued_work)
+    {
+        out.add_queued_work(work);
+    }
+    out.set_speed(status.speed);
+}
+
+dispatch::target_status read(wire::agent_load const& in)
+{
+    dispatch::target_status status;
+    status.stamp_ms = in.stamp_ms();
+    status.snapshot_offset = in.snapshot_offset();
+    status.starts_seen = in.starts_seen();
+    status.accepting = in.accepting();
+    status.service = in.service();
+    status.zone = in.zone();
+    status.capacity = read(in.capacity());
+    status.free = read(in.free());
+    status.running_work = in.running_work();
+    auto const classes = std::min<std::size_t>(static_cast<std::size_t>(in.queued_work_size()),
+                                               dispatch::priority_classes);
+    std::copy_n(in.queued_work().begin(), classes, status.queued_work.begin());
+    status.speed = in.speed() > 0 ? in.speed() : 1;
+    return status;
+}
+
+void write(dispatch::control_snapshot const& snapshot, wire::dispatch_snapshot& out)
+{
+    out.set_offset(snapshot.offset);
+    out.set_version(snapshot.version);
+    for (auto const& route : snapshot.routes)
+    {
+        auto& added = *out.add_routes();
+        added.set_name(route.name);
+        added.set_host(route.host);
+        added.set_path_prefix(route.path_prefix);
+        added.set_service(route.service);
+        added.set_priority(route.priority);
+        added.set_max_attempts(route.max_attempts);
+        added.set_stretch(route.stretch);
+        added.set_target_latency_ms(to_wire(route.target_latency));
+    }
+    for (auto const& zone : snapshot.zones_out)
+    {
+        out.add_zones_out(zone);
+    }
+}
+
+dispatch::control_snapshot read(wire::dispatch_snapshot const& in)
+{
+    dispatch::control_snapshot snapshot;
+    snapshot.offset = in.offset();
+    snapshot.version = in.version();
+    for (auto const& route : in.routes())
+    {
+        snapshot.routes.push_back({.name = route.name(),
+                                   .host = route.host(),
+                                   .path_prefix = route.path_prefix(),
+                                   .service = route.service(),
+                                   .priority = route.priority(),
+                                   .max_attempts = route.max_attempts(),
+                                   .stretch = route.stretch(),
+                                   .target_latency = milliseconds(route.target_latency_ms())});
+    }
+    snapshot.zones_out.insert(in.zones_out().begin(), in.zones_out().end());
+    return snapshot;
+}
+
+void write(dispatch::process_identity const& process, wire::process_greeting& out)
+{
+    out.set_name(process.name);
+    out.set_incarnation(process.incarnation);
+}
+
+dispatch::process_identity read(wire::process_greeting const& in)
+{
+    return {in.name(), in.incarnation()};
+}
+
+void write_orders(frame const& content, wire::dispatch_frame& out)
+{
+    for (auto const& order : content.starts)
+    {
+        write(order, *out.add_starts());
+    }
+    if (content.resume)
+    {
+        auto& resumed = *out.mutable_resume();
+        for (auto const& order : *content.resume)
+        {
+            write(order, *resumed.add_orders());
+        }
+    }
+    for (auto const& id : content.cancels)
+    {
+        write(id, *out.add_cancels());
+    }
+    for (auto const& id : content.acknowledged)
+    {
+        write(id, *out.add_acknowledged());
+    }
+}
+
+void read_orders(wire::dispatch_frame const& in, frame& out)
+{
+    for (auto const& order : in.starts())
+    {
+        out.starts.push_back(read(order));
+    }
+    if (in.has_resume())
+    {
+        out.resume.emplace();
+        for (auto const& order : in.resume().orders())
+        {
+            out.resume->push_back(read(order));
+        }
+    }
+    for (auto const& id : in.cancels())
+    {
+        out.cancels.push_back(read(id));
+    }
+    for (auto const& id : in.acknowledged())
+    {
+        out.acknowledged.push_back(read(id));
+    }
+}
+
+} // namespace
+
+wire::link_message to_message(frame const& content)
+{
+    wire::link_message message;
+    auto& out = *message.mutable_dispatch();
+    if (content.agent)
+    {
+        write(*content.agent, *out.mutable_agent());
+    }
+    if (content.entry)
+    {
+        write(*content.entry, *out.mutable_entry());
+    }
+    write_orders(content, out);
+    if (content.load)
+    {
+        write(*content.load, *out.mutable_load());
+    }
+    if (content.echo)
+    {
+        out.mutable_echo()->set_echoed_stamp_ms(content.echo->echoed_stamp_ms);
+        out.mutable_echo()->set_snapshot_offset(content.echo->snapshot_offset);
+    }
+    for (auto const& report : content.reports)
+    {
+        write(report, *out.add_reports());
+    }
+    if (content.snapshot)
+    {
+        write(*content.snapshot, *out.mutable_snapshot());
+    }
+    for (auto const& entry : content.entries)
+    {
+        auto& added = *out.add_entries();
+        added.set_name(entry.name);
+        added.set_link(entry.link);
+    }
+    return message;
+}
+
+std::optional<frame> to_frame(wire::link_message const& message)
+{
+    if (!message.has_dispatch())
+    {
+        return std::nullopt;
+    }
+    auto const& in = message.dispatch();
+    frame out;
+    if (in.has_agent())
+    {
+        out.agent = read(in.agent());
+    }
+    if (in.has_entry())
+    {
+        out.entry = read(in.entry());
+    }
+    read_orders(in, out);
+    if (in.has_load())
+    {
+        out.load = read(in.load());
+    }
+    if (in.has_echo())
+    {
+        out.echo = dispatch::entry_status{in.echo().echoed_stamp_ms(), in.echo().snapshot_offset()};
+    }
+    for (auto const& report : in.reports())
+    {
+        out.reports.push_back(read(report));
+    }
+    if (in.has_snapshot())
+    {
+        out.snapshot = read(in.snapshot());
+    }
+    for (auto const& entry : in.entries())
+    {
+        out.entries.push_back({entry.name(), entry.link()});
+    }
+    return out;
+}
+
+} // namespace filbertroad::node
--- a/filbertroad/settings/settings.cpp
+++ b/filbertroad/settings/settings.cpp
@@ -5,6 +5,7 @@
 #include "filbertroad/settings/internal/table.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <fstream>
 #include <optional>
@@ -222,6 +223,9 @@
     Settings& out;
 };
 
+constexpr std::string_view expected_roles =
+    "expected \"entry\", \"agent\", \"dispatch-entry\" or \"dispatch-agent\"";
+
 template <class Settings>
 base::result<any_settings, settings_fault> read_all(std::span<row<Settings> const> table,
                                                     std::span<leaf const> leaves,
@@ -271,7 +275,7 @@
     if (role == leaves.end())
     {
         return settings_fault{settings_error::missing, file, 0, std::string(role_key),
-                              "expected \"entry\" or \"agent\""};
+                              std::string(expected_roles)};
     }
     auto const text = role->value.is_string() ? role->value.as_string().str : std::string();
     if (text == "entry")
@@ -282,12 +286,27 @@
     {
         return read_all<agent_settings>(internal::agent_table, leaves, file);
     }
+    if (text == "dispatch-entry")
+    {
+        return read_all<dispatch_entry_settings>(internal::dispatch_entry_table, leaves, file);
+    }
+    if (text == "dispatch-agent")
+    {
+        return read_all<dispatch_agent_settings>(internal::dispatch_agent_table, leaves, file);
+    }
     return settings_fault{settings_error::out_of_range, file, role->line, std::string(role_key),
-                          "expected \"entry\" or \"agent\""};
+                          std::string(expected_roles)};
 }
 
 } // namespace
 
+std::string_view role_of(any_settings const& settings)
+{
+    constexpr std::array<std::string_view, std::variant_size_v<any_settings>> roles{
+        "entry", "agent", "dispatch-entry", "dispatch-agent"};
+    return roles[settings.index()];
+}
+
 std::string to_string(settings_fault const& fault)
 {
     auto text = fault.file;
--- a/filbertroad/settings/settings.hpp
+++ b/filbertroad/settings/settings.hpp
@@ -74,6 +74,40 @@
     std::string span_file;
 };
 
+/// Settings of an entry on a platform with leased runs (docs/decisions/platform.md). The initial
+/// values are the defaults.
+struct dispatch_entry_settings
+{
+    std::string name;
+    /// IP:PORT for callers.
+    std::string listen_http;
+    /// IP:PORT at which the balancer asks for readiness; also serves the metrics.
+    std::string listen_ready;
+    /// IP:PORT for links of agents and entries.
+    std::string listen_link;
+    /// Link addresses of entries that may be running.
+    std::vector<std::string> seeds;
+    std::string store_address;
+    std::uint64_t max_connections = 3'500;
+    std::uint64_t max_jobs = 20'000;
+    /// Time that the platform gives a process to end.
+    std::chrono::milliseconds grace_time{6'000};
+};
+
+/// Settings of an agent on a platform with leased runs. The initial values are the defaults.
+struct dispatch_agent_settings
+{
+    std::string name;
+    std::string zone;
+    /// IP:PORT at which the target reports its status; also serves the metrics.
+    std::string listen;
+    /// IP:PORT at which the target takes orders.
+    std::string target_address;
+    std::vector<std::string> seeds;
+    std::string store_address;
+    std::chrono::milliseconds grace_time{6'000};
+};
+
 enum class settings_error
 {
     unreadable,
@@ -101,7 +135,11 @@
 /// `FILE:LINE: KEY: REASON`, without the parts that are absent.
 [[nodiscard]] std::string to_string(settings_fault const& fault);
 
-using any_settings = std::variant<entry_settings, agent_settings>;
+using any_settings =
+    std::variant<entry_settings, agent_settings, dispatch_entry_settings, dispatch_agent_settings>;
+
+/// Value of the key `role` for the type of `settings`.
+[[nodiscard]] std::string_view role_of(any_settings const& settings);
 
 /// Reads and checks the settings in `text`; its key `role` selects the type. `file` is used in
 /// faults only. The first fault in order of lines is returned; absent keys come last.
--- a/filbertroad/settings/settings_page.cpp
+++ b/filbertroad/settings/settings_page.cpp
@@ -104,6 +104,8 @@
                       "if a file is not valid.\n";
     append_role<entry_settings>(internal::entry_table, "entry", out);
     append_role<agent_settings>(internal::agent_table, "agent", out);
+    append_role<dispatch_entry_settings>(internal::dispatch_entry_table, "dispatch-entry", out);
+    append_role<dispatch_agent_settings>(internal::dispatch_agent_table, "dispatch-agent", out);
     return out;
 }
 
--- a/filbertroad/telemetry/events.hpp
+++ b/filbertroad/telemetry/events.hpp
@@ -48,6 +48,9 @@
     "The settings file is not valid; the process ends."};
 inline constexpr event_definition address_unusable{1005, severity::error, "address_unusable",
                                                    "An address of the settings cannot be bound."};
+inline constexpr event_definition settings_reloaded{
+    1006, severity::info, "settings_reloaded",
+    "The process was told that its settings changed; they take effect at its next start."};
 
 inline constexpr event_definition log_unreachable{
     2001, severity::error, "log_unreachable",
@@ -86,6 +89,11 @@
                                                "A zone was taken out of service or put back."};
 inline constexpr event_definition target_changed{3008, severity::info, "target_changed",
                                                  "A target was taken out of service or put back."};
+inline constexpr event_definition control_applied{
+    3009, severity::info, "control_applied",
+    "A newer snapshot of routes and zones is in force; `source` tells where it came from."};
+inline constexpr event_definition entry_known{3010, severity::info, "entry_known",
+                                              "An entry has become known; agents link to it."};
 
 inline constexpr event_definition agent_linked{4001, severity::info, "agent_linked",
                                                "The link to an agent is up."};
@@ -100,11 +108,26 @@
                                                     "The tasks of removed owners are settled."};
 inline constexpr event_definition shard_released{4006, severity::info, "shard_released",
                                                  "This entry is no longer the owner of a shard."};
+inline constexpr event_definition entry_linked{4007, severity::info, "entry_linked",
+                                               "The link to an entry is up."};
+inline constexpr event_definition entry_lost{
+    4008, severity::warning, "entry_lost",
+    "The link to an entry is down; its runs are stopped unless it returns in time."};
 
 inline constexpr event_definition job_refused{5001, severity::warning, "job_refused",
                                               "A job was not accepted; none of its tasks ran."};
 inline constexpr event_definition job_failed{5002, severity::warning, "job_failed",
                                              "A job has ended with tasks that did not succeed."};
+inline constexpr event_definition job_answered{
+    5003, severity::info, "job_answered",
+    "The answer of a job: its outcome, why, and how long it was held."};
+inline constexpr event_definition run_ended{5004, severity::info, "run_ended",
+                                            "The end of a run at a target, with the reason."};
+inline constexpr event_definition run_sent{
+    5005, severity::info, "run_sent",
+    "A run was sent to an agent, with the waiting and running time expected of it."};
+inline constexpr event_definition request_refused{5006, severity::info, "request_refused",
+                                                  "A request was not taken; no task of it ran."};
 
 inline constexpr event_definition target_ejected{
     6001, severity::warning, "target_ejected",
@@ -119,11 +142,24 @@
                                                 "The target no longer announces itself."};
 inline constexpr event_definition target_leaving{6006, severity::info, "target_leaving",
                                                  "The target has asked for no more work."};
+inline constexpr event_definition target_unreachable{
+    6007, severity::warning, "target_unreachable",
+    "The target does not answer; nothing is started on it."};
+inline constexpr event_definition target_reachable{6008, severity::info, "target_reachable",
+                                                   "The target answers again."};
 
 inline constexpr event_definition link_error{7001, severity::warning, "link_error",
                                              "A link failed or could not be made."};
 inline constexpr event_definition bad_input{7002, severity::warning, "bad_input",
                                             "A request or message was malformed and was refused."};
+inline constexpr event_definition lines_dropped{
+    7003, severity::warning, "lines_dropped",
+    "Log lines were dropped because the reader of the log was too slow."};
+inline constexpr event_definition platform_unreachable{
+    7004, severity::warning, "platform_unreachable",
+    "The platform does not answer a call, or refuses it."};
+inline constexpr event_definition platform_reachable{7005, severity::info, "platform_reachable",
+                                                     "The platform answers again."};
 
 } // namespace events
 
@@ -134,6 +170,7 @@
     events::process_stopped,
     events::settings_rejected,
     events::address_unusable,
+    events::settings_reloaded,
     events::log_unreachable,
     events::log_readable,
     events::confirmation_lost,
@@ -149,22 +186,35 @@
     events::configuration_conflict,
     events::zone_changed,
     events::target_changed,
+    events::control_applied,
+    events::entry_known,
     events::agent_linked,
     events::agent_lost,
     events::shard_taken_over,
     events::recovery_started,
     events::recovery_finished,
     events::shard_released,
+    events::entry_linked,
+    events::entry_lost,
     events::job_refused,
     events::job_failed,
+    events::job_answered,
+    events::run_ended,
+    events::run_sent,
+    events::request_refused,
     events::target_ejected,
     events::target_probed,
     events::target_returned,
     events::target_announced,
     events::target_silent,
     events::target_leaving,
+    events::target_unreachable,
+    events::target_reachable,
     events::link_error,
     events::bad_input,
+    events::lines_dropped,
+    events::platform_unreachable,
+    events::platform_reachable,
 };
 
 /// `INFO`, `WARN` or `ERROR`.
