--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -90,6 +90,8 @@
         return "completed";
     case job_outcome::failed:
         return "failed";
+    case job_outcome::given_up:
+        return "given_up";
     case job_outcome::not_run:
         break;
     }
@@ -381,7 +383,7 @@
         if (again > of.deadline)
         {
             of.may_have_run = true;
-            this->finish(of, job_outcome::failed, "agent silent");
+            this->finish(of, job_outcome::given_up, "agent silent");
         }
         return;
     }
@@ -391,7 +393,7 @@
     {
         return;
     }
-    auto const other = this->choose(of, item);
+    auto const other = this->choose(of, item, item.agent);
     bool const helps = other && *other->agent != item.agent &&
                        now + other->wait + other->run + this->limits.stall_slack < of.deadline;
     if (helps)
@@ -413,7 +415,8 @@
     return suspended * 2 > open;
 }
 
-std::optional<job_dispatcher::choice> job_dispatcher::choose(job const& of, task const& item) const
+std::optional<job_dispatcher::choice> job_dispatcher::choose(job const& of, task const& item,
+                                                             std::string const& avoided) const
 {
     auto const now = this->clock.steady_now();
     auto const& step = of.request.steps[item.step];
@@ -431,7 +434,7 @@
         choice const candidate{&name, view.expected_wait(step.room, of.request.priority),
                                view.expected_run(step.estimate)};
         bool const is_last_resort =
-            item.avoided == name || (view.is_suspended(now) && !ignore_suspension);
+            avoided == name || (view.is_suspended(now) && !ignore_suspension);
         auto& slot = is_last_resort ? last_resort : best;
         if (!slot || candidate.wait + candidate.run < slot->wait + slot->run)
         {
@@ -468,7 +471,7 @@
 
 void job_dispatcher::give_up(job& of, std::string_view reason)
 {
-    this->finish(of, is_not_run(of) ? job_outcome::not_run : job_outcome::failed, reason);
+    this->finish(of, is_not_run(of) ? job_outcome::not_run : job_outcome::given_up, reason);
 }
 
 bool job_dispatcher::refuse_if_too_late(job& of)
@@ -480,7 +483,7 @@
         {
             continue;
         }
-        auto const chosen = this->choose(of, item);
+        auto const chosen = this->choose(of, item, item.avoided);
         if (chosen && now + chosen->wait + chosen->run + this->limits.hop_time > of.deadline)
         {
             this->give_up(of, "cannot end in time");
@@ -498,7 +501,7 @@
         {
             continue;
         }
-        auto const chosen = this->choose(of, item);
+        auto const chosen = this->choose(of, item, item.avoided);
         if (!chosen)
         {
             return;
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -86,8 +86,10 @@
 enum class job_outcome
 {
     completed,
-    /// Some task has run or may have run, and the job cannot be completed.
+    /// A task has failed as often as its route allows.
     failed,
+    /// Some task has run or may have run, and the job cannot be completed in time.
+    given_up,
     /// No task has run, and none will.
     not_run,
 };
@@ -176,7 +178,9 @@
         milliseconds run{};
     };
 
-    [[nodiscard]] std::optional<choice> choose(job const& of, task const& item) const;
+    /// Agent with the least expected completion; `avoided` only if no other is open.
+    [[nodiscard]] std::optional<choice> choose(job const& of, task const& item,
+                                               std::string const& avoided) const;
     [[nodiscard]] bool is_crowded_out(base::steady_time now) const;
     void release_steps(job& of);
     void place_waiting(job& of);
--- /dev/null
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -0,0 +1,191 @@
+#include "filbertroad/dispatch/dispatcher_fixture.hpp"
+
+#include <utility>
+
+namespace filbertroad::dispatch
+{
+namespace
+{
+
+using job_dispatcher_test = dispatcher_fixture;
+
+TEST_F(job_dispatcher_test, job_is_complete_when_every_task_succeeded)
+{
+    this->add_agent("a", 32'000);
+    this->submit(make_job("j", 3));
+    auto const orders = this->starts_at("a");
+    ASSERT_EQ(orders.size(), 3U);
+    this->end(orders[0], "a", run_end::succeeded);
+    this->end(orders[1], "a", run_end::succeeded);
+    EXPECT_EQ(this->outcome("j"), std::nullopt);
+    this->end(orders[2], "a", run_end::succeeded);
+    EXPECT_EQ(this->outcome("j"), job_outcome::completed);
+}
+
+// Guards against a step that starts before the steps it depends on are done.
+TEST_F(job_dispatcher_test, step_waits_for_all_tasks_of_earlier_steps)
+{
+    this->add_agent("a", 32'000);
+    auto job = make_job("j", 2);
+    auto second = job.steps[0];
+    second.count = 1;
+    second.after = {0};
+    job.steps.push_back(second);
+    this->submit(std::move(job));
+    auto const first = this->starts_at("a");
+    ASSERT_EQ(first.size(), 2U);
+    this->end(first[0], "a", run_end::succeeded);
+    EXPECT_TRUE(this->starts_at("a").empty());
+    this->end(first[1], "a", run_end::succeeded);
+    auto const last = this->starts_at("a");
+    ASSERT_EQ(last.size(), 1U);
+    EXPECT_EQ(last[0].id.task, "j.0.1.0");
+}
+
+TEST_F(job_dispatcher_test, failed_task_runs_again_elsewhere_up_to_its_attempts)
+{
+    this->add_agent("a", 32'000);
+    this->add_agent("b", 32'000, 0.5);
+    this->submit(make_job("j", 1));
+    auto const first = this->starts_at("a");
+    ASSERT_EQ(first.size(), 1U);
+    this->end(first[0], "a", run_end::failed);
+    auto const second = this->starts_at("b");
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].id.run, 2U);
+    this->end(second[0], "b", run_end::failed);
+    EXPECT_EQ(this->outcome("j"), job_outcome::failed);
+}
+
+// Guards against "failed" for a job none of whose tasks has failed as often as the route allows:
+// the caller would take that for final, although the job may be submitted again.
+TEST_F(job_dispatcher_test, job_given_up_for_time_is_not_told_as_failed)
+{
+    this->add_agent("a", 32'000);
+    this->submit(make_job("j", 1));
+    ASSERT_EQ(this->starts_at("a").size(), 1U);
+    this->pass(milliseconds(2'100));
+    EXPECT_EQ(this->outcome("j"), job_outcome::given_up);
+    ASSERT_FALSE(this->cancels.empty());
+    EXPECT_EQ(this->cancels.back().id.task, "j.0.0.0");
+}
+
+// Guards against "not run" for a job whose run an agent may have begun.
+TEST_F(job_dispatcher_test, job_with_a_run_sent_is_never_told_as_not_run)
+{
+    this->add_agent("a", 32'000);
+    this->submit(make_job("j", 1));
+    ASSERT_EQ(this->starts_at("a").size(), 1U);
+    this->dispatcher.agent_disconnected("a");
+    this->pass(milliseconds(2'100), false);
+    EXPECT_EQ(this->outcome("j"), job_outcome::given_up);
+}
+
+TEST_F(job_dispatcher_test, job_without_targets_is_refused_as_not_run_within_a_quarter_of_its_aim)
+{
+    this->submit(make_job("j", 1));
+    EXPECT_EQ(this->outcome("j"), std::nullopt);
+    this->pass(milliseconds(125));
+    ASSERT_EQ(this->outcome("j"), job_outcome::not_run);
+    EXPECT_TRUE(this->answer("j")->retry_after.has_value());
+}
+
+// Guards against two runs of a task at the same time: the run on a silent agent's target lasts
+// until the agent's authority and the target's lease are over.
+TEST_F(job_dispatcher_test, task_of_a_silent_agent_starts_elsewhere_only_when_its_run_is_over)
+{
+    this->add_agent("a", 32'000, 2);
+    this->add_agent("b", 32'000);
+    auto job = make_job("j", 1);
+    job.time_budget = milliseconds(10'000);
+    this->submit(std::move(job));
+    ASSERT_EQ(this->starts_at("a").size(), 1U);
+    this->statuses.erase("a");
+    this->pass(milliseconds(1'550));
+    EXPECT_TRUE(this->starts_at("b").empty());
+    this->pass(milliseconds(50));
+    EXPECT_EQ(this->starts_at("b").size(), 1U);
+}
+
+// Guards against a caller who waits for a job that is known to be lost.
+TEST_F(job_dispatcher_test, job_that_cannot_run_again_in_time_is_answered_when_its_agent_is_lost)
+{
+    this->add_agent("a", 32'000);
+    auto job = make_job("j", 1);
+    job.time_budget = milliseconds(1'700);
+    this->submit(std::move(job));
+    this->pass(milliseconds(650), false);
+    EXPECT_EQ(this->outcome("j"), job_outcome::given_up);
+}
+
+// A restarted agent links only after it has proved that every earlier run is over.
+TEST_F(job_dispatcher_test, tasks_of_a_restarted_agent_start_again_at_once)
+{
+    this->add_agent("a", 32'000);
+    this->submit(make_job("j", 1));
+    ASSERT_EQ(this->starts_at("a").size(), 1U);
+    this->dispatcher.agent_connected({"a", 2});
+    this->report("a", make_status(32'000));
+    auto const again = this->starts_at("a");
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].id.run, 2U);
+}
+
+// Guards against runs that an agent goes on with although their job has ended while the link was
+// down.
+TEST_F(job_dispatcher_test, agent_learns_which_runs_are_still_wanted_when_its_link_returns)
+{
+    this->add_agent("a", 32'000);
+    this->submit(make_job("kept", 1));
+    this->submit(make_job("ended", 1));
+    this->dispatcher.agent_disconnected("a");
+    this->dispatcher.cancel("ended");
+    this->dispatcher.agent_connected({"a", 1});
+    this->report("a", make_status(32'000));
+    ASSERT_FALSE(this->resumes.empty());
+    ASSERT_EQ(this->resumes.back().orders.size(), 1U);
+    EXPECT_EQ(this->resumes.back().orders[0].id.task, "kept.0.0.0");
+}
+
+TEST_F(job_dispatcher_test, late_report_of_an_earlier_run_changes_nothing)
+{
+    this->add_agent("a", 32'000);
+    this->submit(make_job("j", 1));
+    auto const first = this->starts_at("a");
+    this->end(first[0], "a", run_end::lost);
+    ASSERT_EQ(this->starts_at("a").size(), 1U);
+    this->end(first[0], "a", run_end::succeeded);
+    EXPECT_EQ(this->outcome("j"), std::nullopt);
+}
+
+// Guards against a target that fails everything at once and so attracts all work.
+TEST_F(job_dispatcher_test, target_that_fails_repeatedly_is_avoided)
+{
+    this->add_agent("bad", 64'000, 4);
+    this->add_agent("good", 32'000);
+    this->add_agent("other", 32'000);
+    for (int job = 0; job < 2; ++job)
+    {
+        this->submit(make_job("f" + std::to_string(job), 1));
+        this->end(this->starts_at("bad").at(0), "bad", run_end::failed);
+    }
+    this->submit(make_job("j", 2));
+    EXPECT_TRUE(this->starts_at("bad").empty());
+}
+
+TEST_F(job_dispatcher_test, run_that_stands_still_is_stopped_and_runs_elsewhere)
+{
+    this->add_agent("a", 32'000, 1.1);
+    this->add_agent("b", 32'000);
+    this->submit(make_job("j", 1));
+    auto const stalled = this->starts_at("a");
+    ASSERT_EQ(stalled.size(), 1U);
+    this->pass(milliseconds(700));
+    ASSERT_EQ(this->cancels.size(), 1U);
+    EXPECT_TRUE(this->starts_at("b").empty());
+    this->end(stalled[0], "a", run_end::lost);
+    EXPECT_EQ(this->starts_at("b").size(), 1U);
+}
+
+} // namespace
+} // namespace filbertroad::dispatch
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -58,6 +58,8 @@
                                         {{"outcome", "completed"}})),
           failed(metrics.add_counter("filbertroad_jobs_total", "Jobs answered.",
                                      {{"outcome", "failed"}})),
+          given_up(metrics.add_counter("filbertroad_jobs_total", "Jobs answered.",
+                                       {{"outcome", "given_up"}})),
           refused(metrics.add_counter("filbertroad_jobs_total", "Jobs answered.",
                                       {{"outcome", "not_run"}})),
           runs_sent(metrics.add_counter("filbertroad_runs_sent_total", "Runs sent to agents.")),
@@ -472,6 +474,9 @@
         case dispatch::job_outcome::failed:
             this->failed.increment();
             break;
+        case dispatch::job_outcome::given_up:
+            this->given_up.increment();
+            break;
         case dispatch::job_outcome::not_run:
             this->refused.increment();
             break;
@@ -499,6 +504,7 @@
     bool is_flush_posted = false;
     telemetry::counter& completed;
     telemetry::counter& failed;
+    telemetry::counter& given_up;
     telemetry::counter& refused;
     telemetry::counter& runs_sent;
     telemetry::histogram& held_time;
