--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -105,6 +105,15 @@
 
 job_dispatcher::~job_dispatcher() = default;
 
+bool job_dispatcher::choice::is_better_than(choice const& other) const
+{
+    if (this->is_prompt != other.is_prompt)
+    {
+        return this->is_prompt;
+    }
+    return this->wait + this->run < other.wait + other.run;
+}
+
 void job_dispatcher::submit(job_request request)
 {
     if (this->jobs.contains(request.key))
@@ -420,6 +429,7 @@
 {
     auto const now = this->clock.steady_now();
     auto const& step = of.request.steps[item.step];
+    auto const prompt_until = of.arrived + scaled(of.objective, this->limits.prompt_share);
     // Half of the targets stay in use, since a fault of so many is not one of the targets.
     bool const ignore_suspension = this->is_crowded_out(now);
     std::optional<choice> best;
@@ -431,12 +441,14 @@
         {
             continue;
         }
-        choice const candidate{&name, view.expected_wait(step.room, of.request.priority),
-                               view.expected_run(step.estimate)};
+        choice candidate{&name, view.expected_wait(step.room, of.request.priority),
+                         view.expected_run(step.estimate)};
+        candidate.is_prompt = candidate.wait == milliseconds(0) &&
+                              now + candidate.run + this->limits.hop_time <= prompt_until;
         bool const is_last_resort =
             avoided == name || (view.is_suspended(now) && !ignore_suspension);
         auto& slot = is_last_resort ? last_resort : best;
-        if (!slot || candidate.wait + candidate.run < slot->wait + slot->run)
+        if (!slot || candidate.is_better_than(*slot))
         {
             slot = candidate;
         }
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -44,6 +44,10 @@
     milliseconds runs_over_after{1'565};
     /// Share of the latency objective for which a job may wait for a target that takes work.
     double waiting_share = 0.25;
+    /// Share of the latency objective within which a run must be expected to end for its target
+    /// to count as fast enough. Estimates are off by 40 %, so that less would be late too often
+    /// and more would leave slower targets idle.
+    double prompt_share = 0.85;
     /// Jobs held at the same time; more are refused.
     std::size_t max_jobs = 20'000;
     /// A run is given up as stalled after this multiple of its expected time, and `stall_slack`.
@@ -176,9 +180,14 @@
         std::string const* agent = nullptr;
         milliseconds wait{};
         milliseconds run{};
+        /// Room is free now and the run ends within the objective; goes before any other.
+        bool is_prompt = false;
+
+        [[nodiscard]] bool is_better_than(choice const& other) const;
     };
 
-    /// Agent with the least expected completion; `avoided` only if no other is open.
+    /// Fastest agent with free room on which the task ends within the objective; if there is none,
+    /// the one with the least expected completion. `avoided` only if no other is open.
     [[nodiscard]] std::optional<choice> choose(job const& of, task const& item,
                                                std::string const& avoided) const;
     [[nodiscard]] bool is_crowded_out(base::steady_time now) const;
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -187,5 +187,28 @@
     EXPECT_EQ(this->starts_at("b").size(), 1U);
 }
 
+// Pattern: 60 % load on targets of unequal speed. Least expected completion alone queues at the
+// fast target while slower ones, on which the task would be in time, stand idle.
+TEST_F(job_dispatcher_test, free_target_that_is_fast_enough_goes_before_a_queue_at_a_faster_one)
+{
+    this->add_agent("fast", 3'000, 1.6);
+    this->add_agent("slow", 32'000, 1);
+    this->submit(make_job("first", 1));
+    ASSERT_EQ(this->starts_at("fast").size(), 1U);
+    this->submit(make_job("second", 1));
+    EXPECT_EQ(this->starts_at("slow").size(), 1U);
+}
+
+// The other side: a free target on which the task would be late is no reason to leave the queue.
+TEST_F(job_dispatcher_test, free_target_that_is_too_slow_does_not_go_before_a_short_queue)
+{
+    this->add_agent("fast", 3'000, 1.6);
+    this->add_agent("slow", 32'000, 0.3);
+    this->submit(make_job("first", 1));
+    ASSERT_EQ(this->starts_at("fast").size(), 1U);
+    this->submit(make_job("second", 1));
+    EXPECT_EQ(this->starts_at("fast").size(), 1U);
+}
+
 } // namespace
 } // namespace filbertroad::dispatch
