Admit jobs by their expected lateness; log waiting times of runs

Ruled out: refusing everything that is expected late (a burst of half a second is served whole by a short queue; test short_burst...).

--- a/filbertroad/dispatch/dispatcher_fixture.hpp
+++ b/filbertroad/dispatch/dispatcher_fixture.hpp
@@ -84,7 +84,7 @@
 
     void end(start_order const& order, std::string const& agent, run_end how)
     {
-        this->dispatcher.run_ended(agent, {order.id, how, "", milliseconds(100)});
+        this->dispatcher.run_ended(agent, {order.id, how, "", milliseconds(100), {}});
         this->collect();
     }
 
--- /dev/null
+++ b/filbertroad/dispatch/internal/overload_detector.hpp
@@ -0,0 +1,50 @@
+#ifndef FILBERTROAD_DISPATCH_INTERNAL_OVERLOAD_DETECTOR_HPP
+#define FILBERTROAD_DISPATCH_INTERNAL_OVERLOAD_DETECTOR_HPP
+
+/// Tells a burst, which is worth waiting out, from lasting overload, in which a queue only makes
+/// every job late. As in controlled delay (CoDel), overload lasts when no job could have ended in
+/// time for a whole interval.
+///
+///     overload_detector overload;
+///     if (!overload.admits(priority, expected_end / objective, now)) refuse();
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/dispatch/messages.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace filbertroad::dispatch::internal
+{
+
+class overload_detector
+{
+public:
+    /// `lateness` is the expected time to the end of a job over its latency objective.
+    bool admits(std::uint32_t priority, double lateness, base::steady_time now)
+    {
+        auto& last_prompt =
+            this->last_prompt_job[std::min<std::size_t>(priority, priority_classes - 1)];
+        if (lateness <= prompt_lateness)
+        {
+            last_prompt = now;
+            return true;
+        }
+        bool const is_lasting = now - last_prompt > interval;
+        return !is_lasting && lateness <= burst_lateness;
+    }
+
+private:
+    /// A job that is expected within its objective is admitted in any case.
+    static constexpr double prompt_lateness = 1;
+    /// Callers have no use for an answer after three times the objective; estimates are rough.
+    static constexpr double burst_lateness = 2.5;
+    /// Two typical run times: shorter ones end by themselves as running tasks end.
+    static constexpr milliseconds interval{400};
+
+    std::array<base::steady_time, priority_classes> last_prompt_job{};
+};
+
+} // namespace filbertroad::dispatch::internal
+
+#endif
--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -40,6 +40,8 @@
     base::steady_time arrived{};
     base::steady_time deadline{};
     milliseconds objective{};
+    /// Time after which the answer is of no use; no task is started for an end after it.
+    base::steady_time useful_until{};
     std::vector<task> tasks;
     std::size_t unfinished = 0;
     /// Starts sent to agents.
@@ -128,6 +130,8 @@
     added.deadline = now + added.request.time_budget;
     added.objective = scaled(longest_chain(added.request.steps), added.request.stretch) +
                       added.request.target_latency;
+    added.useful_until =
+        std::min(added.deadline, now + scaled(added.objective, this->limits.useful_factor));
     auto const& steps = added.request.steps;
     for (std::size_t step = 0; step < steps.size(); ++step)
     {
@@ -154,10 +158,7 @@
     else
     {
         this->release_steps(added);
-        if (!this->refuse_if_too_late(added))
-        {
-            this->place_waiting(added);
-        }
+        this->admit(added);
     }
     this->settle(added);
 }
@@ -302,7 +303,8 @@
         {
             if (item.state == task_state::sent && item.agent == agent)
             {
-                reports.push_back({{item.name, item.run}, run_end::lost, std::string(reason), {}});
+                reports.push_back(
+                    {{item.name, item.run}, run_end::lost, std::string(reason), {}, {}});
             }
         }
     }
@@ -382,7 +384,7 @@
     if (silence > this->limits.runs_over_after)
     {
         this->take_end(of, item, item.agent,
-                       {{item.name, item.run}, run_end::lost, "agent silent", {}});
+                       {{item.name, item.run}, run_end::lost, "agent silent", {}, {}});
         return;
     }
     if (silence > this->limits.authority)
@@ -496,7 +498,7 @@
             continue;
         }
         auto const chosen = this->choose(of, item, item.avoided);
-        if (chosen && now + chosen->wait + chosen->run + this->limits.hop_time > of.deadline)
+        if (chosen && now + chosen->wait + chosen->run + this->limits.hop_time > of.useful_until)
         {
             this->give_up(of, "cannot end in time");
             return true;
@@ -505,6 +507,45 @@
     return false;
 }
 
+void job_dispatcher::admit(job& of)
+{
+    auto const now = this->clock.steady_now();
+    milliseconds expected_end{};
+    std::vector<std::pair<task*, choice>> plan;
+    for (auto& item : of.tasks)
+    {
+        if (item.state != task_state::waiting)
+        {
+            continue;
+        }
+        auto const chosen = this->choose(of, item, item.avoided);
+        if (!chosen)
+        {
+            break;
+        }
+        this->reserve(of, item, *chosen);
+        plan.emplace_back(&item, *chosen);
+        expected_end = std::max(expected_end, chosen->wait + chosen->run + this->limits.hop_time);
+    }
+    auto const lateness = static_cast<double>(expected_end.count()) /
+                          static_cast<double>(std::max<std::int64_t>(of.objective.count(), 1));
+    bool const is_admitted = this->overload.admits(of.request.priority, lateness, now) &&
+                             now + expected_end <= of.useful_until;
+    if (!is_admitted)
+    {
+        for (auto planned = plan.rbegin(); planned != plan.rend(); ++planned)
+        {
+            this->agents.find(*planned->second.agent)->second.forget_last_sent();
+        }
+        this->finish(of, job_outcome::not_run, "overload");
+        return;
+    }
+    for (auto& [item, chosen] : plan)
+    {
+        this->send(of, *item, chosen);
+    }
+}
+
 void job_dispatcher::place_waiting(job& of)
 {
     for (auto& item : of.tasks)
@@ -518,10 +559,19 @@
         {
             return;
         }
+        this->reserve(of, item, *chosen);
         this->send(of, item, *chosen);
     }
 }
 
+void job_dispatcher::reserve(job const& of, task const& item, choice const& chosen)
+{
+    auto const& room = of.request.steps[item.step].room;
+    auto const work =
+        static_cast<double>(chosen.run.count()) * static_cast<double>(room.cpu) / 1000;
+    this->agents.find(*chosen.agent)->second.note_sent(room, work, of.request.priority);
+}
+
 void job_dispatcher::send(job& of, task& item, choice const& chosen)
 {
     auto const now = this->clock.steady_now();
@@ -533,7 +583,7 @@
     item.is_cancel_sent = false;
     ++item.run;
     ++of.runs;
-    auto const time_left = to_ms(of.deadline - now) - chosen.run;
+    auto const time_left = to_ms(of.useful_until - now) - chosen.run;
     auto const queue_limit = chosen.wait * 2 + this->limits.queue_slack;
     item.order = {.id = {item.name, item.run},
                   .payload = of.request.payload,
@@ -541,10 +591,7 @@
                   .estimate = step.estimate,
                   .priority = of.request.priority,
                   .useful_for = std::clamp(time_left, milliseconds(0), queue_limit)};
-    auto const work =
-        static_cast<double>(chosen.run.count()) * static_cast<double>(step.room.cpu) / 1000;
-    this->agents.find(item.agent)->second.note_sent(step.room, work, of.request.priority);
-    this->actions.emplace_back(send_start{item.agent, item.order});
+    this->actions.emplace_back(send_start{item.agent, item.order, chosen.wait, chosen.run});
 }
 
 void job_dispatcher::finish(job& of, job_outcome outcome, std::string_view reason)
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -19,6 +19,7 @@
 
 #include "filbertroad/base/clock.hpp"
 #include "filbertroad/dispatch/internal/agent_view.hpp"
+#include "filbertroad/dispatch/internal/overload_detector.hpp"
 #include "filbertroad/dispatch/messages.hpp"
 
 #include <map>
@@ -48,6 +49,8 @@
     /// to count as fast enough. Estimates are off by 40 %, so that less would be late too often
     /// and more would leave slower targets idle.
     double prompt_share = 0.85;
+    /// Multiple of the latency objective after which an answer is of no use to the caller.
+    double useful_factor = 3;
     /// Jobs held at the same time; more are refused.
     std::size_t max_jobs = 20'000;
     /// A run is given up as stalled after this multiple of its expected time, and `stall_slack`.
@@ -104,6 +107,9 @@
 {
     std::string agent;
     start_order order;
+    /// Expected waiting and running time there.
+    milliseconds wait{};
+    milliseconds run{};
 };
 
 struct send_cancel
@@ -193,12 +199,16 @@
     [[nodiscard]] bool is_crowded_out(base::steady_time now) const;
     void release_steps(job& of);
     void place_waiting(job& of);
+    /// Counts the task as load of the chosen agent.
+    void reserve(job const& of, task const& item, choice const& chosen);
     void send(job& of, task& item, choice const& chosen);
     /// Whether it is certain that no task of the job has run.
     [[nodiscard]] static bool is_not_run(job const& of);
     /// Ends a job that cannot be completed; tells the caller whether a task may have run.
     void give_up(job& of, std::string_view reason);
     bool refuse_if_too_late(job& of);
+    /// Places the tasks of a new job, or refuses it as a whole.
+    void admit(job& of);
     void settle(job& of);
     void finish(job& of, job_outcome outcome, std::string_view reason);
     void check_job(job& of);
@@ -212,6 +222,7 @@
     std::map<std::string, std::unique_ptr<job>, std::less<>> jobs;
     std::unordered_map<std::string, task_place> tasks;
     std::vector<dispatch_action> actions;
+    internal::overload_detector overload;
 };
 
 } // namespace filbertroad::dispatch
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -210,5 +210,39 @@
     EXPECT_EQ(this->starts_at("fast").size(), 1U);
 }
 
+// Pattern: lasting overload. A queue makes every job late; jobs beyond what the targets can do are
+// refused at once, and those taken end in time.
+TEST_F(job_dispatcher_test, lasting_overload_refuses_jobs_instead_of_making_all_late)
+{
+    this->add_agent("a", 9'000);
+    std::size_t taken = 0;
+    for (int job = 0; job < 40; ++job)
+    {
+        auto status = make_status(9'000);
+        status.free = {};
+        status.running_work = 9 * 100;
+        status.queued_work[0] = 9 * 400;
+        this->report("a", status);
+        this->clock.advance(milliseconds(50));
+        auto const key = "j" + std::to_string(job);
+        this->submit(make_job(key, 1));
+        taken += this->outcome(key) == job_outcome::not_run ? 0 : 1;
+    }
+    EXPECT_LE(taken, 400 / 50);
+}
+
+// Pattern: a burst of a few jobs on a target that was idle. Waiting serves all of them.
+TEST_F(job_dispatcher_test, short_burst_is_queued_although_its_last_jobs_come_late)
+{
+    this->add_agent("a", 9'000);
+    this->submit(make_job("first", 3));
+    for (int job = 0; job < 3; ++job)
+    {
+        auto const key = "j" + std::to_string(job);
+        this->submit(make_job(key, 3));
+        EXPECT_EQ(this->outcome(key), std::nullopt);
+    }
+}
+
 } // namespace
 } // namespace filbertroad::dispatch
--- a/filbertroad/dispatch/messages.hpp
+++ b/filbertroad/dispatch/messages.hpp
@@ -83,6 +83,8 @@
     std::string reason;
     /// Time from the start to the end on the target; 0 if unknown.
     milliseconds elapsed{};
+    /// Time in the agent's queue before the start.
+    milliseconds queued{};
 };
 
 /// Load and readiness of a target, told by its agent.
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -191,7 +191,7 @@
     }
     if (!refusal.empty())
     {
-        run_report report{order.id, run_end::not_started, std::string(refusal), {}};
+        run_report report{order.id, run_end::not_started, std::string(refusal), {}, {}};
         session.unacknowledged[order.id.task] = report;
         this->actions.emplace_back(send_report{std::string(entry), std::move(report)});
         return;
@@ -644,7 +644,8 @@
 {
     auto const* const run = this->runs.find(task);
     bool const was_started = run->state != run_state::queued;
-    run_report report{run->order.id, end, std::string(reason), {}};
+    run_report report{run->order.id, end, std::string(reason), {}, {}};
+    report.queued = elapsed_ms(run->arrived, was_started ? run->started : this->clock.steady_now());
     if (was_started)
     {
         report.elapsed = elapsed_ms(run->started, this->clock.steady_now());
--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -425,6 +425,7 @@
                          {"entry", action.entry},
                          {"end", std::string(to_string(action.report.end))},
                          {"reason", action.report.reason},
+                         {"queued_ms", std::to_string(action.report.queued.count())},
                          {"elapsed_ms", std::to_string(action.report.elapsed.count())}});
         for (auto& [address, entry] : this->entries)
         {
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -428,7 +428,9 @@
         this->runs_sent.increment();
         this->log.write(events::run_sent, {{"task", action.order.id.task},
                                            {"run", std::to_string(action.order.id.run)},
-                                           {"agent", action.agent}});
+                                           {"agent", action.agent},
+                                           {"wait_ms", std::to_string(action.wait.count())},
+                                           {"run_ms", std::to_string(action.run.count())}});
         this->output(action.agent).starts.push_back(std::move(action.order));
     }
 
