--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -584,7 +584,7 @@
     ++item.run;
     ++of.runs;
     auto const time_left = to_ms(of.useful_until - now) - chosen.run;
-    auto const queue_limit = chosen.wait * 2 + this->limits.queue_slack;
+    auto const queue_limit = chosen.wait * this->limits.queue_factor + this->limits.queue_slack;
     item.order = {.id = {item.name, item.run},
                   .payload = of.request.payload,
                   .room = step.room,
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -58,8 +58,10 @@
     milliseconds stall_slack{150};
     /// Time between entry and target and back that is expected beside waiting and running.
     milliseconds hop_time{4};
-    /// Wait in an agent's queue beyond the expected one, after which a task is placed anew.
-    milliseconds queue_slack{100};
+    /// Wait in an agent's queue after which a task is placed anew: this multiple of the expected
+    /// one and the slack. A task that is placed anew loses its turn, so that both are generous.
+    std::int64_t queue_factor = 4;
+    milliseconds queue_slack{400};
     /// When a caller may come back after a refusal.
     std::chrono::seconds retry_after{1};
 };
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -231,6 +231,19 @@
     EXPECT_LE(taken, 400 / 50);
 }
 
+// Guards against tasks that are passed from queue to queue and lose their turn each time: an agent
+// keeps a task for several times the wait that was expected.
+TEST_F(job_dispatcher_test, queued_task_keeps_its_turn_when_the_wait_is_longer_than_expected)
+{
+    this->add_agent("a", 9'000);
+    this->submit(make_job("first", 3));
+    this->starts_at("a");
+    this->submit(make_job("second", 1));
+    auto const queued = this->starts_at("a");
+    ASSERT_EQ(queued.size(), 1U);
+    EXPECT_GE(queued[0].useful_for, milliseconds(600));
+}
+
 // Pattern: a burst of a few jobs on a target that was idle. Waiting serves all of them.
 TEST_F(job_dispatcher_test, short_burst_is_queued_although_its_last_jobs_come_late)
 {
