Start queued tasks strictly in order of urgency; tests of the agent's decisions

Smaller tasks overtook larger urgent ones at the agent.

Conclusion: kept, since the order of urgency is what operators set; the late jobs have another cause.

--- /dev/null
+++ b/filbertroad/dispatch/agent_fixture.hpp
@@ -0,0 +1,204 @@
+#ifndef FILBERTROAD_DISPATCH_AGENT_FIXTURE_HPP
+#define FILBERTROAD_DISPATCH_AGENT_FIXTURE_HPP
+
+/// A run agent with a manual clock and a target that the test plays: it accepts starts and lists
+/// what runs, unless the test says otherwise.
+///
+///     class my_test : public agent_fixture {};
+///     this->connect("entry");
+///     this->order("entry", "task", 3'000);
+///     EXPECT_EQ(this->running(), std::set<std::string>{"task"});
+
+#include "filbertroad/dispatch/run_agent.hpp"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace filbertroad::dispatch
+{
+
+class agent_fixture : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        this->announce();
+        this->renew();
+    }
+
+    void announce(bool draining = false)
+    {
+        ++this->sequence;
+        this->agent.target_announced(
+            {"target", this->born, "service", {9'000, 1'000, 0}, draining, this->sequence});
+        this->collect();
+    }
+
+    void connect(std::string const& entry, std::uint64_t incarnation = 1)
+    {
+        this->agent.entry_connected({entry, incarnation});
+        this->confirm(entry);
+    }
+
+    /// The entry echoes a status made now.
+    void confirm(std::string const& entry)
+    {
+        this->agent.entry_confirmed(entry, this->agent.make_status(entry).stamp_ms);
+        this->collect();
+    }
+
+    static start_order make_order(std::string const& task, std::int64_t cpu,
+                                  std::uint32_t priority = 0, std::uint32_t run = 1)
+    {
+        return {.id = {task, run},
+                .payload = "payload",
+                .room = {cpu, 10, 0},
+                .estimate = milliseconds(200),
+                .priority = priority,
+                .useful_for = milliseconds(1'000)};
+    }
+
+    void order(std::string const& entry, std::string const& task, std::int64_t cpu,
+               std::uint32_t priority = 0, std::uint32_t run = 1)
+    {
+        this->agent.start_ordered(entry, make_order(task, cpu, priority, run));
+        this->collect();
+    }
+
+    /// One renewal that the target answers at once.
+    void renew()
+    {
+        auto const sent = this->agent.make_renewal();
+        this->last_lease = sent.lease_until_ms;
+        this->agent.renewal_answered(sent, this->list());
+        this->collect();
+    }
+
+    [[nodiscard]] run_list list() const
+    {
+        run_list content;
+        content.born = this->born;
+        content.clock_ms = this->target_clock();
+        for (auto const& [task, run] : this->on_target)
+        {
+            content.running.push_back({{task, run}});
+        }
+        content.finished = this->finished;
+        return content;
+    }
+
+    [[nodiscard]] std::uint64_t target_clock() const
+    {
+        return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<milliseconds>(this->clock.steady_now().time_since_epoch())
+                .count());
+    }
+
+    /// A run on the target ends; the next renewal tells.
+    void finish(std::string const& task, listed_end how = listed_end::done)
+    {
+        auto const found = this->on_target.find(task);
+        ASSERT_NE(found, this->on_target.end()) << task;
+        this->finished.push_back({++this->finish_number, {task, found->second}, how});
+        this->on_target.erase(found);
+    }
+
+    /// Lets time pass in steps of 25 ms with a tick each; renewals are answered every 100 ms, and
+    /// entries confirm, unless they are silent.
+    void pass(milliseconds time, std::vector<std::string> const& confirming,
+              bool target_answers = true)
+    {
+        for (milliseconds passed{}; passed < time; passed += milliseconds(25))
+        {
+            this->clock.advance(milliseconds(25));
+            for (auto const& entry : confirming)
+            {
+                this->confirm(entry);
+            }
+            if (target_answers && passed.count() % 100 == 0)
+            {
+                this->renew();
+            }
+            this->agent.tick();
+            this->collect();
+        }
+    }
+
+    [[nodiscard]] std::set<std::string> running() const
+    {
+        std::set<std::string> tasks;
+        for (auto const& [task, run] : this->on_target)
+        {
+            tasks.insert(task);
+        }
+        return tasks;
+    }
+
+    [[nodiscard]] run_report const* report(std::string const& task) const
+    {
+        auto const found =
+            std::find_if(this->reports.rbegin(), this->reports.rend(),
+                         [&](send_report const& item) { return item.report.id.task == task; });
+        return found == this->reports.rend() ? nullptr : &found->report;
+    }
+
+    void collect()
+    {
+        for (auto& action : this->agent.take_actions())
+        {
+            std::visit([this](auto& item) { this->take(item); }, action);
+        }
+    }
+
+    base::manual_clock clock;
+    run_agent agent{this->clock, "zone-1", {}, 1};
+    std::uint64_t born = 1;
+    std::uint64_t sequence = 0;
+    /// Task and run number of what runs on the target.
+    std::map<std::string, std::uint32_t> on_target;
+    std::vector<listed_finish> finished;
+    std::uint64_t finish_number = 0;
+    std::vector<send_report> reports;
+    std::vector<start_run> starts;
+    std::vector<stop_run> stops;
+    std::optional<std::uint64_t> last_lease;
+    /// Whether the target begins and answers starts, and ends and answers stops.
+    bool answers_starts = true;
+    bool answers_stops = true;
+
+private:
+    void take(start_run& action)
+    {
+        this->starts.push_back(action);
+        if (this->answers_starts)
+        {
+            this->on_target[action.id.task] = action.id.run;
+            this->agent.start_answered(action.id, start_answer::accepted);
+        }
+    }
+
+    void take(stop_run& action)
+    {
+        this->stops.push_back(action);
+        if (!this->answers_stops)
+        {
+            return;
+        }
+        if (this->on_target.contains(action.id.task))
+        {
+            this->finish(action.id.task, listed_end::stopped);
+        }
+        this->agent.stop_answered(action.id, true);
+    }
+
+    void take(send_report& action) { this->reports.push_back(action); }
+    void take(publish_status& /*action*/) {}
+};
+
+} // namespace filbertroad::dispatch
+
+#endif
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -582,17 +582,19 @@
     }
     for (auto const& task : this->runs.queued())
     {
+        auto& run = *this->runs.find(task);
+        if (!this->has_authority(run.entry))
+        {
+            continue;
+        }
         auto free = this->target->capacity;
         free -= this->runs.held();
-        if (free.cpu <= 0)
+        // Smaller tasks that overtook the first one would keep the room too small for it.
+        if (!free.holds(run.order.room))
         {
             return;
         }
-        auto& run = *this->runs.find(task);
-        if (free.holds(run.order.room) && this->has_authority(run.entry))
-        {
-            this->start(run);
-        }
+        this->start(run);
     }
 }
 
--- /dev/null
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -0,0 +1,305 @@
+#include "filbertroad/dispatch/agent_fixture.hpp"
+
+namespace filbertroad::dispatch
+{
+namespace
+{
+
+using run_agent_test = agent_fixture;
+using tasks = std::set<std::string>;
+
+TEST_F(run_agent_test, run_starts_and_its_end_is_reported)
+{
+    this->connect("e");
+    this->order("e", "t", 3'000);
+    EXPECT_EQ(this->running(), tasks{"t"});
+    this->finish("t");
+    this->renew();
+    ASSERT_NE(this->report("t"), nullptr);
+    EXPECT_EQ(this->report("t")->end, run_end::succeeded);
+    EXPECT_TRUE(this->agent.is_idle());
+}
+
+// The target does not guard its room; a start beyond it would slow down every run.
+TEST_F(run_agent_test, runs_never_exceed_the_room_of_the_target)
+{
+    this->connect("e");
+    for (auto const* const task : {"a", "b", "c", "d"})
+    {
+        this->order("e", task, 3'000);
+    }
+    EXPECT_EQ(this->running(), (tasks{"a", "b", "c"}));
+    this->finish("a");
+    this->renew();
+    EXPECT_EQ(this->running(), (tasks{"b", "c", "d"}));
+}
+
+TEST_F(run_agent_test, run_that_is_being_stopped_keeps_its_room_until_its_end_is_listed)
+{
+    this->connect("e");
+    this->order("e", "a", 9'000);
+    this->order("e", "b", 9'000);
+    this->answers_stops = false;
+    this->agent.cancel_ordered("e", {"a", 1});
+    this->collect();
+    this->pass(milliseconds(200), {"e"});
+    EXPECT_EQ(this->running(), tasks{"a"});
+    this->finish("a", listed_end::stopped);
+    this->renew();
+    EXPECT_EQ(this->running(), tasks{"b"});
+}
+
+// Pattern: overload with tasks of different size. Smaller tasks that overtake keep the room too
+// small for the first one, however urgent it is.
+TEST_F(run_agent_test, smaller_task_does_not_overtake_a_more_urgent_one_that_waits_for_room)
+{
+    this->connect("e");
+    this->order("e", "a", 4'500, 1);
+    this->order("e", "b", 4'500, 1);
+    this->order("e", "urgent", 6'000, 0);
+    this->order("e", "small", 4'000, 1);
+    this->finish("a");
+    this->renew();
+    EXPECT_EQ(this->running(), tasks{"b"});
+    this->finish("b");
+    this->renew();
+    EXPECT_EQ(this->running(), tasks{"urgent"});
+}
+
+// Guards against a start from an entry that was paused: its orders may be replaced elsewhere.
+TEST_F(run_agent_test, runs_of_a_silent_entry_are_stopped_and_none_starts)
+{
+    this->connect("e");
+    this->order("e", "a", 9'000);
+    this->order("e", "b", 9'000);
+    this->pass(milliseconds(575), {});
+    EXPECT_EQ(this->running(), tasks{"a"});
+    this->pass(milliseconds(125), {});
+    EXPECT_TRUE(this->running().empty());
+}
+
+TEST_F(run_agent_test, runs_of_a_restarted_entry_are_stopped_at_once)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->connect("e", 2);
+    EXPECT_TRUE(this->running().empty());
+}
+
+TEST_F(run_agent_test, runs_go_on_over_a_lost_link_of_the_same_entry)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->order("e", "unwanted", 3'000);
+    this->connect("e");
+    this->agent.runs_resumed("e", {make_order("a", 3'000), make_order("new", 3'000)});
+    this->collect();
+    EXPECT_EQ(this->running(), (tasks{"a", "new"}));
+    EXPECT_EQ(this->starts.size(), 3U);
+}
+
+TEST_F(run_agent_test, report_is_repeated_after_a_lost_link_until_it_is_acknowledged)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->finish("a");
+    this->renew();
+    this->reports.clear();
+    this->connect("e");
+    ASSERT_NE(this->report("a"), nullptr);
+    this->agent.report_acknowledged("e", {"a", 1});
+    this->reports.clear();
+    this->connect("e");
+    EXPECT_EQ(this->report("a"), nullptr);
+}
+
+// Guards against a second run beside one whose start got no answer and is carried out late.
+TEST_F(run_agent_test, unanswered_start_is_not_reported_over_before_a_stop_is_answered)
+{
+    this->connect("e");
+    this->answers_starts = false;
+    this->answers_stops = false;
+    this->order("e", "t", 3'000);
+    this->agent.start_answered({"t", 1}, start_answer::none);
+    this->collect();
+    this->pass(milliseconds(2'000), {"e"});
+    EXPECT_EQ(this->report("t"), nullptr);
+    EXPECT_GE(this->stops.size(), 2U);
+    this->answers_stops = true;
+    this->pass(milliseconds(300), {"e"});
+    ASSERT_NE(this->report("t"), nullptr);
+    EXPECT_EQ(this->report("t")->end, run_end::not_started);
+}
+
+TEST_F(run_agent_test, unanswered_start_that_the_target_lists_goes_on)
+{
+    this->connect("e");
+    this->answers_starts = false;
+    this->order("e", "t", 3'000);
+    this->on_target["t"] = 1;
+    this->renew();
+    this->agent.start_answered({"t", 1}, start_answer::none);
+    this->collect();
+    EXPECT_TRUE(this->stops.empty());
+    this->finish("t");
+    this->renew();
+    EXPECT_EQ(this->report("t")->end, run_end::succeeded);
+}
+
+TEST_F(run_agent_test, stale_run_number_is_raised_until_the_target_takes_it)
+{
+    this->connect("e");
+    this->answers_starts = false;
+    this->order("e", "t", 3'000);
+    this->agent.start_answered({"t", 1}, start_answer::stale_run);
+    this->answers_starts = true;
+    this->pass(milliseconds(25), {"e"});
+    ASSERT_EQ(this->starts.size(), 2U);
+    EXPECT_EQ(this->starts[1].id.run, 2U);
+    this->finish("t");
+    this->renew();
+    EXPECT_EQ(this->report("t")->id.run, 1U);
+}
+
+TEST_F(run_agent_test, fenced_start_is_repeated_with_a_higher_token)
+{
+    this->connect("e");
+    this->answers_starts = false;
+    this->order("e", "t", 3'000);
+    this->agent.start_answered({"t", 1}, start_answer::fenced);
+    this->answers_starts = true;
+    this->pass(milliseconds(25), {"e"});
+    ASSERT_EQ(this->starts.size(), 2U);
+    EXPECT_GT(this->starts[1].fencing_token, this->starts[0].fencing_token);
+}
+
+TEST_F(run_agent_test, nothing_starts_in_a_zone_out_of_service)
+{
+    this->connect("e");
+    this->order("e", "a", 9'000);
+    this->order("e", "queued", 9'000);
+    this->agent.set_zone_out(true);
+    this->collect();
+    EXPECT_EQ(this->report("queued")->end, run_end::not_started);
+    this->finish("a");
+    this->renew();
+    this->order("e", "b", 3'000);
+    EXPECT_EQ(this->report("b")->end, run_end::not_started);
+    EXPECT_TRUE(this->running().empty());
+    this->agent.set_zone_out(false);
+    this->order("e", "c", 3'000);
+    EXPECT_EQ(this->running(), tasks{"c"});
+}
+
+TEST_F(run_agent_test, nothing_starts_on_a_draining_target)
+{
+    this->connect("e");
+    this->order("e", "a", 9'000);
+    this->order("e", "queued", 9'000);
+    this->announce(true);
+    EXPECT_EQ(this->report("queued")->end, run_end::not_started);
+    this->finish("a");
+    this->renew();
+    EXPECT_EQ(this->report("a")->end, run_end::succeeded);
+    this->order("e", "b", 3'000);
+    EXPECT_EQ(this->report("b")->end, run_end::not_started);
+}
+
+// Guards against a status report that was delayed behind its sender's restart.
+TEST_F(run_agent_test, report_of_an_earlier_process_of_the_target_has_no_effect)
+{
+    this->connect("e");
+    this->born = 2;
+    this->announce();
+    this->renew();
+    this->agent.target_announced({"target", 1, "service", {90'000, 1'000, 0}, false, 99});
+    EXPECT_EQ(this->agent.make_status("e").capacity.cpu, 9'000);
+}
+
+TEST_F(run_agent_test, runs_of_a_restarted_target_are_over_at_once)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->born = 2;
+    this->on_target.clear();
+    this->renew();
+    ASSERT_NE(this->report("a"), nullptr);
+    EXPECT_EQ(this->report("a")->end, run_end::lost);
+    this->order("e", "b", 3'000);
+    EXPECT_EQ(this->report("b")->end, run_end::not_started) << "its room is not announced yet";
+    this->announce();
+    this->order("e", "c", 3'000);
+    EXPECT_EQ(this->running(), tasks{"c"});
+}
+
+// The target may run what an earlier agent started; its room is not known.
+TEST_F(run_agent_test, nothing_starts_beside_runs_of_an_earlier_agent)
+{
+    this->on_target["foreign"] = 3;
+    this->answers_stops = false;
+    this->connect("e");
+    this->renew();
+    this->order("e", "a", 3'000);
+    EXPECT_EQ(this->report("a")->end, run_end::not_started);
+    EXPECT_FALSE(this->stops.empty());
+    this->on_target.clear();
+    this->renew();
+    this->order("e", "b", 3'000);
+    EXPECT_EQ(this->running(), tasks{"b"});
+}
+
+// Guards against a lease that is renewed for runs whose entry is gone and whose stop the target
+// does not answer: the entry counts on the end of the lease.
+TEST_F(run_agent_test, lease_is_not_renewed_while_a_stop_stays_unproved)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->answers_stops = false;
+    this->pass(milliseconds(800), {});
+    this->renew();
+    EXPECT_TRUE(this->last_lease.has_value());
+    this->pass(milliseconds(200), {});
+    this->renew();
+    EXPECT_FALSE(this->last_lease.has_value());
+}
+
+TEST_F(run_agent_test, runs_of_an_unreachable_target_are_over_when_their_lease_is)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->pass(milliseconds(600), {"e"}, false);
+    EXPECT_EQ(this->report("a"), nullptr);
+    this->pass(milliseconds(100), {"e"}, false);
+    ASSERT_NE(this->report("a"), nullptr);
+    EXPECT_EQ(this->report("a")->end, run_end::lost);
+}
+
+TEST_F(run_agent_test, stopping_agent_returns_its_queue_and_lets_runs_end)
+{
+    this->connect("e");
+    this->order("e", "a", 9'000);
+    this->order("e", "queued", 9'000);
+    this->agent.begin_stop();
+    this->collect();
+    EXPECT_EQ(this->report("queued")->end, run_end::not_started);
+    EXPECT_EQ(this->running(), tasks{"a"});
+    this->finish("a");
+    this->renew();
+    EXPECT_TRUE(this->agent.is_idle());
+}
+
+// Two entries may hold the same task after its caller sent the job again; only one run may be on
+// a target.
+TEST_F(run_agent_test, task_of_another_entry_waits_until_the_earlier_run_is_over)
+{
+    this->connect("e");
+    this->connect("f");
+    this->order("e", "t", 3'000);
+    this->answers_stops = false;
+    this->order("f", "t", 3'000);
+    EXPECT_EQ(this->report("t")->end, run_end::not_started);
+    EXPECT_EQ(this->starts.size(), 1U);
+}
+
+} // namespace
+} // namespace filbertroad::dispatch
