Keep two renewals under way and look at the runs at once after a stop

A start without answer was noticed after 120 ms and proved over with the next renewal only.

Ruled out: overload (the same load without lost answers is served in time), order of the queue, returns from queues.

--- a/filbertroad/dispatch/agent_fixture.hpp
+++ b/filbertroad/dispatch/agent_fixture.hpp
@@ -166,6 +166,7 @@
     std::vector<start_run> starts;
     std::vector<stop_run> stops;
     std::optional<std::uint64_t> last_lease;
+    bool is_look_due = false;
     /// Whether the target begins and answers starts, and ends and answers stops.
     bool answers_starts = true;
     bool answers_stops = true;
@@ -197,6 +198,7 @@
 
     void take(send_report& action) { this->reports.push_back(action); }
     void take(publish_status& /*action*/) {}
+    void take(look_at_runs& /*action*/) { this->is_look_due = true; }
 };
 
 } // namespace filbertroad::dispatch
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -295,6 +295,7 @@
     {
         run->is_stop_answered = true;
         run->stop_answered = this->clock.steady_now();
+        this->actions.emplace_back(look_at_runs{});
     }
 }
 
@@ -352,9 +353,8 @@
         }
         this->listed_born = list.born;
         this->last_seen = 0;
+        this->target_clock_ms = 0;
     }
-    this->target_clock_ms = list.clock_ms;
-    this->target_clock_at = this->clock.steady_now();
     for (auto const& finish : list.finished)
     {
         if (finish.number > this->last_seen)
@@ -363,6 +363,14 @@
             this->last_seen = finish.number;
         }
     }
+    if (list.clock_ms < this->target_clock_ms)
+    {
+        // A later answer has overtaken this one; its list is newer.
+        this->start_queued();
+        return;
+    }
+    this->target_clock_ms = list.clock_ms;
+    this->target_clock_at = this->clock.steady_now();
     this->compare_with_list(sent, list);
     this->stop_unknown(list);
     if (!this->settled && !this->has_unknown_runs)
@@ -493,7 +501,7 @@
         auto const* const run = this->runs.find(listed.id.task);
         bool const is_known =
             run != nullptr && run->state != run_state::queued && run->target_run == listed.id.run;
-        if (!is_known)
+        if (!is_known && !this->ended_lately(listed.id))
         {
             this->has_unknown_runs = true;
             this->actions.emplace_back(stop_run{listed.id, this->fencing_token});
@@ -501,6 +509,12 @@
     }
 }
 
+bool run_agent::ended_lately(run_id const& id) const
+{
+    auto const found = this->ended_runs.find(id.task);
+    return found != this->ended_runs.end() && found->second.first == id.run;
+}
+
 void run_agent::set_zone_out(bool is_out)
 {
     if (std::exchange(this->zone_out, is_out) == is_out)
@@ -659,6 +673,10 @@
         this->speed.observe(run->order.estimate, report.elapsed);
     }
     auto const entry = run->entry;
+    if (was_started)
+    {
+        this->ended_runs[task] = {run->target_run, this->clock.steady_now()};
+    }
     this->runs.erase(std::string(task));
     if (auto const session = this->sessions.find(entry); session != this->sessions.end())
     {
@@ -681,6 +699,8 @@
             }
         });
     auto const now = this->clock.steady_now();
+    std::erase_if(this->ended_runs, [&](auto const& item)
+                  { return now - item.second.second > this->limits.crossing_time; });
     std::erase_if(this->sessions,
                   [&](auto const& item)
                   {
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -54,6 +54,8 @@
     milliseconds unhealthy_pause{200};
     /// Silence of the target after which its lease is no longer renewed and nothing is started.
     milliseconds contact_timeout{400};
+    /// Longest time by which two answers of the target overtake each other.
+    milliseconds crossing_time{1'000};
     /// Time after which a session without authority and runs is forgotten.
     milliseconds session_retention{30'000};
 };
@@ -158,7 +160,13 @@
 {
 };
 
-using agent_action = std::variant<start_run, stop_run, send_report, publish_status>;
+/// A renewal is due at once, answered without waiting for an end: its list proves stopped runs
+/// over.
+struct look_at_runs
+{
+};
+
+using agent_action = std::variant<start_run, stop_run, send_report, publish_status, look_at_runs>;
 
 class run_agent
 {
@@ -201,6 +209,8 @@
     [[nodiscard]] bool is_settled() const { return this->settled; }
     /// Whether nothing runs or waits.
     [[nodiscard]] bool is_idle() const { return this->runs.empty(); }
+    /// Whether the target has answered lately.
+    [[nodiscard]] bool is_reachable() const;
     [[nodiscard]] bool has_target() const { return this->target.has_value(); }
 
 private:
@@ -217,7 +227,6 @@
 
     /// Why nothing may be started; empty if starts are possible.
     [[nodiscard]] std::string_view closed_reason() const;
-    [[nodiscard]] bool is_reachable() const;
     [[nodiscard]] bool has_authority(std::string_view entry) const;
     /// End of a lease that begins now, on the target's clock; it is taken into account in
     /// `leases_over_at`.
@@ -237,6 +246,7 @@
     void take_finished(listed_finish const& finish);
     void compare_with_list(renewal const& sent, run_list const& list);
     void stop_unknown(run_list const& list);
+    [[nodiscard]] bool ended_lately(run_id const& id) const;
     void requeue(entry_run& run);
     void note_change() { this->status_changed = true; }
 
@@ -260,6 +270,10 @@
     bool stopping = false;
     base::steady_time paused_until{};
 
+    /// Runs that ended within `limits.crossing_time`, by task, and when; a list that crossed the
+    /// one with their end may still name them.
+    std::map<std::string, std::pair<std::uint32_t, base::steady_time>> ended_runs;
+
     internal::run_table runs;
     internal::speed_estimate speed;
     std::map<std::string, entry_session, std::less<>> sessions;
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -288,6 +288,37 @@
     EXPECT_TRUE(this->agent.is_idle());
 }
 
+// Pattern: the target leaves orders unanswered. A second renewal is under way, so that answers
+// cross; a list from before an end must not bring the run back.
+TEST_F(run_agent_test, list_that_was_overtaken_by_a_later_one_changes_nothing)
+{
+    this->connect("e");
+    this->order("e", "t", 3'000);
+    auto const sent = this->agent.make_renewal();
+    auto const earlier = this->list();
+    this->finish("t");
+    this->renew();
+    this->agent.renewal_answered(sent, earlier);
+    this->collect();
+    EXPECT_TRUE(this->stops.empty());
+    this->order("e", "next", 3'000);
+    EXPECT_EQ(this->running(), tasks{"next"});
+}
+
+// Guards against a task that waits for a whole renewal after its start got no answer.
+TEST_F(run_agent_test, answered_stop_asks_for_a_list_at_once)
+{
+    this->connect("e");
+    this->answers_starts = false;
+    this->order("e", "t", 3'000);
+    this->agent.start_answered({"t", 1}, start_answer::none);
+    this->collect();
+    this->collect();
+    ASSERT_TRUE(this->is_look_due);
+    this->renew();
+    EXPECT_EQ(this->report("t")->end, run_end::not_started);
+}
+
 // Two entries may hold the same task after its caller sent the job again; only one run may be on
 // a target.
 TEST_F(run_agent_test, task_of_another_entry_waits_until_the_earlier_run_is_over)
--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -31,6 +31,9 @@
 /// renewals do not end it.
 constexpr milliseconds renewal_wait{150};
 
+/// Renewals under way at the same time. An answer that is lost then delays no end.
+constexpr int renewal_lanes = 2;
+
 /// Pause before the next renewal when one was not answered.
 constexpr milliseconds renewal_pause{10};
 
@@ -64,7 +67,6 @@
         : io(io), clock(clock), target(target), log(log), zone(zone),
           incarnation(base::to_unix_ms(clock.system_now())), identity{std::move(name), incarnation},
           agent(clock, std::move(zone), limits, incarnation), tick_timer(io), status_timer(io),
-          renewal_timer(io),
           ended(metrics.add_counter("filbertroad_runs_ended_total", "Runs that ended.")),
           run_time(metrics.add_histogram("filbertroad_run_seconds",
                                          "Time from the start of a run to its end."))
@@ -77,7 +79,10 @@
 
     void open() override
     {
-        this->renew();
+        for (int lane = 0; lane < renewal_lanes; ++lane)
+        {
+            this->renew();
+        }
         this->tick_later();
     }
 
@@ -140,16 +145,16 @@
         {
             this->agent.renewal_answered(renewal, *answer.list);
         }
-        this->note_reachable(answer.list.has_value());
+        this->note_reachable();
         this->flush();
         if (answer.list || answer.is_fenced)
         {
             this->renew();
             return;
         }
-        this->renewal_timer.expires_after(renewal_pause);
-        this->renewal_timer.async_wait(
-            [this](boost::system::error_code code)
+        auto const timer = std::make_shared<asio::steady_timer>(this->io, renewal_pause);
+        timer->async_wait(
+            [this, timer](boost::system::error_code code)
             {
                 if (!code)
                 {
@@ -158,8 +163,9 @@
             });
     }
 
-    void note_reachable(bool is_reachable)
+    void note_reachable()
     {
+        bool const is_reachable = this->agent.is_reachable();
         if (std::exchange(this->was_reachable, is_reachable) != is_reachable)
         {
             this->log.write(is_reachable ? events::target_reachable : events::target_unreachable);
@@ -437,6 +443,20 @@
         }
     }
 
+    void carry_out(dispatch::look_at_runs& /*action*/)
+    {
+        auto const renewal = this->agent.make_renewal();
+        this->target.renew(renewal, milliseconds(0),
+                           [this, renewal](renewal_answer const& answer)
+                           {
+                               if (answer.list)
+                               {
+                                   this->agent.renewal_answered(renewal, *answer.list);
+                                   this->flush();
+                               }
+                           });
+    }
+
     void carry_out(dispatch::publish_status& /*action*/)
     {
         if (std::exchange(this->is_status_planned, true))
@@ -474,7 +494,6 @@
     std::map<std::string, entry_link> entries;
     asio::steady_timer tick_timer;
     asio::steady_timer status_timer;
-    asio::steady_timer renewal_timer;
     bool is_flush_posted = false;
     bool is_status_planned = false;
     bool was_reachable = true;
