--- a/filbertroad/dispatch/agent_fixture.hpp
+++ b/filbertroad/dispatch/agent_fixture.hpp
@@ -58,7 +58,6 @@
                 .payload = "payload",
                 .room = {cpu, 10, 0},
                 .estimate = milliseconds(200),
-                .declared = milliseconds(200),
                 .priority = priority,
                 .useful_for = milliseconds(1'000)};
     }
--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -37,8 +37,6 @@
 struct job_dispatcher::job
 {
     job_request request;
-    /// Expected run time of the tasks of each step on a target of speed 1.
-    std::vector<milliseconds> run_times;
     base::steady_time arrived{};
     base::steady_time deadline{};
     milliseconds objective{};
@@ -67,7 +65,7 @@
 }
 
 /// Longest chain of estimated run times.
-milliseconds longest_chain(std::span<job_step const> steps, std::span<milliseconds const> run_times)
+milliseconds longest_chain(std::span<job_step const> steps)
 {
     std::vector<milliseconds> ends;
     milliseconds longest{};
@@ -78,7 +76,7 @@
         {
             begin = std::max(begin, ends[earlier]);
         }
-        ends.push_back(begin + run_times[ends.size()]);
+        ends.push_back(begin + step.estimate);
         longest = std::max(longest, ends.back());
     }
     return longest;
@@ -130,14 +128,8 @@
     added.request = std::move(request);
     added.arrived = now;
     added.deadline = now + added.request.time_budget;
-    auto const& model = this->run_times[added.request.route];
-    for (auto const& step : added.request.steps)
-    {
-        added.run_times.push_back(model.predict(step.estimate));
-    }
-    added.objective =
-        scaled(longest_chain(added.request.steps, added.run_times), added.request.stretch) +
-        added.request.target_latency;
+    added.objective = scaled(longest_chain(added.request.steps), added.request.stretch) +
+                      added.request.target_latency;
     added.useful_until =
         std::min(added.deadline, now + scaled(added.objective, this->limits.useful_factor));
     auto const& steps = added.request.steps;
@@ -273,8 +265,6 @@
         item.state = task_state::succeeded;
         --of.unfinished;
         view.note_success();
-        this->run_times[of.request.route].observe(
-            item.order.declared, static_cast<double>(report.elapsed.count()) * view.status().speed);
         this->release_steps(of);
         if (of.unfinished == 0)
         {
@@ -454,7 +444,7 @@
             continue;
         }
         choice candidate{&name, view.expected_wait(step.room, of.request.priority),
-                         view.expected_run(of.run_times[item.step])};
+                         view.expected_run(step.estimate)};
         candidate.is_prompt = candidate.wait == milliseconds(0) &&
                               now + candidate.run + this->limits.hop_time <= prompt_until;
         bool const is_last_resort =
@@ -598,8 +588,7 @@
     item.order = {.id = {item.name, item.run},
                   .payload = of.request.payload,
                   .room = step.room,
-                  .estimate = of.run_times[item.step],
-                  .declared = step.estimate,
+                  .estimate = step.estimate,
                   .priority = of.request.priority,
                   .useful_for = std::clamp(time_left, milliseconds(0), queue_limit)};
     this->actions.emplace_back(send_start{item.agent, item.order, chosen.wait, chosen.run});
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -20,7 +20,6 @@
 #include "filbertroad/base/clock.hpp"
 #include "filbertroad/dispatch/internal/agent_view.hpp"
 #include "filbertroad/dispatch/internal/overload_detector.hpp"
-#include "filbertroad/dispatch/internal/run_time_model.hpp"
 #include "filbertroad/dispatch/messages.hpp"
 
 #include <map>
@@ -73,7 +72,6 @@
 {
     std::uint32_t count = 0;
     model::room room;
-    /// Run time that the caller declares.
     milliseconds estimate{};
     /// Earlier steps, by position, whose tasks must all have succeeded.
     std::vector<std::uint32_t> after;
@@ -228,8 +226,6 @@
     std::unordered_map<std::string, task_place> tasks;
     std::vector<dispatch_action> actions;
     internal::overload_detector overload;
-    /// By route.
-    std::map<std::string, internal::run_time_model> run_times;
 };
 
 } // namespace filbertroad::dispatch
--- a/filbertroad/dispatch/messages.hpp
+++ b/filbertroad/dispatch/messages.hpp
@@ -54,11 +54,8 @@
     run_id id;
     std::string payload;
     model::room room;
-    /// Expected run time on a target of speed 1.
+    /// Rough run time on a target of speed 1.
     milliseconds estimate{};
-    /// Run time that the caller declared; the speed of targets is learnt from it, since the
-    /// expected time depends on that speed.
-    milliseconds declared{};
     /// 0 goes first.
     std::uint32_t priority = 0;
     /// Time left in which a start is of use; a run not started by then is returned.
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -426,7 +426,7 @@
     switch (finish.end)
     {
     case listed_end::done:
-        this->speed.observe(run->order.declared, elapsed);
+        this->speed.observe(run->order.estimate, elapsed);
         this->end_run(finish.id.task, run_end::succeeded, "");
         break;
     case listed_end::failed:
@@ -670,7 +670,7 @@
     bool const was_slow = static_cast<double>(report.elapsed.count()) > expected;
     if (end == run_end::lost && was_slow)
     {
-        this->speed.observe(run->order.declared, report.elapsed);
+        this->speed.observe(run->order.estimate, report.elapsed);
     }
     auto const entry = run->entry;
     if (was_started)
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -426,13 +426,11 @@
     void carry_out(dispatch::send_start& action)
     {
         this->runs_sent.increment();
-        this->log.write(events::run_sent,
-                        {{"task", action.order.id.task},
-                         {"run", std::to_string(action.order.id.run)},
-                         {"agent", action.agent},
-                         {"estimate_ms", std::to_string(action.order.declared.count())},
-                         {"wait_ms", std::to_string(action.wait.count())},
-                         {"run_ms", std::to_string(action.run.count())}});
+        this->log.write(events::run_sent, {{"task", action.order.id.task},
+                                           {"run", std::to_string(action.order.id.run)},
+                                           {"agent", action.agent},
+                                           {"wait_ms", std::to_string(action.wait.count())},
+                                           {"run_ms", std::to_string(action.run.count())}});
         this->output(action.agent).starts.push_back(std::move(action.order));
     }
 
--- a/filbertroad/node/frame.cpp
+++ b/filbertroad/node/frame.cpp
@@ -43,7 +43,6 @@
     out.set_payload(order.payload);
     write(order.room, *out.mutable_room());
     out.set_estimate_ms(to_wire(order.estimate));
-    out.set_declared_ms(to_wire(order.declared));
     out.set_priority(order.priority);
     out.set_useful_for_ms(to_wire(order.useful_for));
 }
@@ -54,7 +53,6 @@
             .payload = in.payload(),
             .room = read(in.room()),
             .estimate = milliseconds(in.estimate_ms()),
-            .declared = milliseconds(in.declared_ms()),
             .priority = in.priority(),
             .useful_for = milliseconds(in.useful_for_ms())};
 }
