--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -37,12 +37,16 @@
 /// Pause before the next renewal when one was not answered.
 constexpr milliseconds renewal_pause{10};
 
-/// Time for a link to open, and silence after which an open one is made anew.
+/// Silence after which an open link is made anew.
 constexpr milliseconds link_silence_limit{400};
 
+/// Time for a link to open. An entry without power does not answer; the attempt after its return
+/// must come soon, since all agents are needed then.
+constexpr milliseconds link_open_limit{150};
+
 /// Pauses between attempts to link to an entry: the first, and the longest after doubling.
-constexpr milliseconds first_link_pause{50};
-constexpr milliseconds max_link_pause{800};
+constexpr milliseconds first_link_pause{25};
+constexpr milliseconds max_link_pause{400};
 
 struct entry_link
 {
@@ -209,7 +213,8 @@
 
     void check_link(std::string const& address, entry_link& entry, base::steady_time now)
     {
-        if (entry.link && now - entry.heard > link_silence_limit)
+        auto const limit = entry.entry.empty() ? link_open_limit : link_silence_limit;
+        if (entry.link && now - entry.heard > limit)
         {
             this->drop_link(entry, "silent");
         }
