--- /dev/null
+++ b/filbertroad/dispatch/agent_view_test.cpp
@@ -0,0 +1,67 @@
+#include "filbertroad/dispatch/internal/agent_view.hpp"
+
+#include <gtest/gtest.h>
+
+namespace filbertroad::dispatch::internal
+{
+namespace
+{
+
+constexpr model::room task{3'000, 10, 0};
+
+target_status full_target()
+{
+    target_status status;
+    status.accepting = true;
+    status.capacity = {30'000, 10'000, 0};
+    status.running_work = 30 * 100;
+    return status;
+}
+
+TEST(agent_view_test, free_room_needs_no_wait)
+{
+    agent_view view;
+    view.connect(1, {});
+    auto status = full_target();
+    status.free = status.capacity;
+    view.take_status(status, {});
+    EXPECT_EQ(view.expected_wait(task, 0), milliseconds(0));
+}
+
+// Ten runs with 100 ms left on the mean: the first ends after 20 ms. An expectation of a fraction
+// of that kept work queueing at fast targets under overload.
+TEST(agent_view_test, full_target_waits_for_the_first_of_its_runs_to_end)
+{
+    agent_view view;
+    view.connect(1, {});
+    view.take_status(full_target(), {});
+    EXPECT_EQ(view.expected_wait(task, 0), milliseconds(20));
+}
+
+TEST(agent_view_test, less_urgent_work_in_the_queue_is_not_waited_for)
+{
+    agent_view view;
+    view.connect(1, {});
+    auto status = full_target();
+    status.queued_work[1] = 30 * 200;
+    view.take_status(status, {});
+    EXPECT_EQ(view.expected_wait(task, 0), milliseconds(20));
+    EXPECT_EQ(view.expected_wait(task, 1), milliseconds(220));
+}
+
+TEST(agent_view_test, starts_count_until_a_status_holds_them)
+{
+    agent_view view;
+    view.connect(1, {});
+    auto status = full_target();
+    status.free = task;
+    view.take_status(status, {});
+    view.note_sent(task, 300, 0);
+    EXPECT_GT(view.expected_wait(task, 0), milliseconds(0));
+    status.starts_seen = 1;
+    view.take_status(status, {});
+    EXPECT_EQ(view.expected_wait(task, 0), milliseconds(0));
+}
+
+} // namespace
+} // namespace filbertroad::dispatch::internal
--- a/filbertroad/dispatch/internal/agent_view.cpp
+++ b/filbertroad/dispatch/internal/agent_view.cpp
@@ -102,8 +102,10 @@
         static_cast<double>(std::max<std::int64_t>(this->last.capacity.cpu, 1)) / 1000;
     auto const used = static_cast<double>(this->last.capacity.cpu - free.cpu) / 1000;
     auto const mean_left = used > 0 ? running / used : 0;
-    auto const missing = static_cast<double>(std::max<std::int64_t>(room.cpu - free.cpu, 0)) / 1000;
-    auto const wait = (ahead + missing * mean_left) / cores;
+    // The first of N runs, whose remaining times are spread evenly around their mean, ends after
+    // 2 / N of it.
+    auto const first_end = 2 * mean_left * static_cast<double>(room.cpu) / 1000;
+    auto const wait = (ahead + first_end) / cores;
     return milliseconds(static_cast<std::int64_t>(std::max(wait, min_wait_ms)));
 }
 
