End a job whose returned task has no time left; keep the order of links in the simulation

Cause, found by the simulation: a task was sent again to agents that returned it at once, up to 40 times in 400 ms, since its time was over; the check came with the next tick only.

--- a/filbertroad/dispatch/cluster_simulation.cpp
+++ b/filbertroad/dispatch/cluster_simulation.cpp
@@ -62,9 +62,14 @@
     std::vector<std::function<void()>> held;
     /// Entries that it has a working link to.
     std::set<std::string> linked;
+    /// Number of the present link, by entry; messages of an earlier one are lost.
+    std::map<std::string, std::uint64_t> link_number;
     std::set<std::string> cut_from;
-    bool zone_out = false;
-    base::steady_time zone_out_since{};
+
+    [[nodiscard]] bool has_link(std::string const& entry, std::uint64_t number)
+    {
+        return this->linked.contains(entry) && this->link_number[entry] == number;
+    }
 };
 
 struct cluster_simulation::entry_process
@@ -116,6 +121,13 @@
     this->events.emplace(this->clock.steady_now() + delay, std::move(event));
 }
 
+void cluster_simulation::send_in_order(std::string const& link, std::function<void()> event)
+{
+    auto& last = this->last_delivery[link];
+    last = std::max(last, this->clock.steady_now() + this->between(1, 4));
+    this->events.emplace(last, std::move(event));
+}
+
 void cluster_simulation::run(milliseconds time)
 {
     for (milliseconds passed{}; passed < time; passed += step_time)
@@ -303,6 +315,7 @@
 
 void cluster_simulation::connect(agent_process& agent, entry_process& entry)
 {
+    ++agent.link_number[entry.name];
     agent.core->entry_connected({entry.name, entry.incarnation});
     entry.core->agent_connected({agent.name, agent.incarnation});
     this->carry_out(entry);
@@ -312,52 +325,49 @@
 void cluster_simulation::to_agent(agent_process& agent, entry_process& entry,
                                   std::function<void()> event)
 {
-    if (!agent.linked.contains(entry.name))
+    auto const process = agent.incarnation;
+    auto const link = agent.link_number[entry.name];
+    auto deliver = [this, &agent, name = entry.name, process, link, event = std::move(event)]
     {
-        return;
-    }
-    this->later(
-        this->between(1, 4),
-        [this, &agent, name = entry.name, incarnation = agent.incarnation, event = std::move(event)]
+        if (agent.incarnation != process || !agent.has_link(name, link))
         {
-            if (agent.incarnation != incarnation || !agent.linked.contains(name))
-            {
-                return;
-            }
-            if (this->clock.steady_now() < agent.frozen_until)
-            {
-                agent.held.push_back(event);
-            }
-            else
-            {
-                event();
-            }
-        });
+            return;
+        }
+        if (this->clock.steady_now() < agent.frozen_until)
+        {
+            agent.held.push_back(event);
+            return;
+        }
+        event();
+    };
+    if (agent.linked.contains(entry.name))
+    {
+        this->send_in_order(entry.name + ">" + agent.name, std::move(deliver));
+    }
 }
 
 void cluster_simulation::to_entry(entry_process& entry, agent_process& agent,
                                   std::function<void()> event)
 {
-    if (!agent.linked.contains(entry.name))
+    auto const process = agent.incarnation;
+    auto const link = agent.link_number[entry.name];
+    auto deliver = [this, &entry, &agent, process, link, event = std::move(event)]
     {
-        return;
+        if (agent.incarnation != process || !agent.has_link(entry.name, link))
+        {
+            return;
+        }
+        if (this->clock.steady_now() < entry.frozen_until)
+        {
+            entry.held.push_back(event);
+            return;
+        }
+        event();
+    };
+    if (agent.linked.contains(entry.name))
+    {
+        this->send_in_order(agent.name + ">" + entry.name, std::move(deliver));
     }
-    this->later(this->between(1, 4),
-                [this, &entry, &agent, incarnation = agent.incarnation, event = std::move(event)]
-                {
-                    if (agent.incarnation != incarnation || !agent.linked.contains(entry.name))
-                    {
-                        return;
-                    }
-                    if (this->clock.steady_now() < entry.frozen_until)
-                    {
-                        entry.held.push_back(event);
-                    }
-                    else
-                    {
-                        event();
-                    }
-                });
 }
 
 void cluster_simulation::send_statuses()
@@ -482,9 +492,17 @@
     auto& on = *from.on;
     if (on.is_mute || (this->has_late_orders && this->chance(0.3)))
     {
-        // Lost, or carried out seconds later.
+        // Lost, or carried out seconds later; a restarted target refuses it, since orders name the
+        // process that they are meant for.
         this->later(milliseconds(60), [answer, id = order.id] { answer(id, start_answer::none); });
-        this->later(this->between(300, 4'000), [this, &on, order] { this->begin(on, order, ""); });
+        this->later(this->between(300, 4'000),
+                    [this, &on, order, born = on.born]
+                    {
+                        if (on.born == born)
+                        {
+                            this->begin(on, order);
+                        }
+                    });
         return;
     }
     this->later(milliseconds(1),
@@ -506,7 +524,7 @@
                         answer(order.id, start_answer::stale_run);
                         return;
                     }
-                    this->begin(on, order, "");
+                    this->begin(on, order);
                     answer(order.id, start_answer::accepted);
                 });
 }
@@ -580,7 +598,7 @@
                 });
 }
 
-void cluster_simulation::begin(target& on, start_run const& order, std::string const& /*zone*/)
+void cluster_simulation::begin(target& on, start_run const& order)
 {
     auto const highest = on.highest_run.find(order.id.task);
     bool const is_refused = order.fencing_token < on.highest_token ||
--- a/filbertroad/dispatch/cluster_simulation.hpp
+++ b/filbertroad/dispatch/cluster_simulation.hpp
@@ -43,6 +43,8 @@
     void step();
     void deliver_due();
     void later(milliseconds delay, std::function<void()> event);
+    /// As later(), on a link that keeps the order of its messages.
+    void send_in_order(std::string const& link, std::function<void()> event);
     [[nodiscard]] bool chance(double probability);
     [[nodiscard]] milliseconds between(int least, int most);
 
@@ -61,7 +63,7 @@
     void order_stop(agent_process& from, stop_run const& order);
     void restart(agent_process& agent);
 
-    void begin(target& on, start_run const& order, std::string const& zone);
+    void begin(target& on, start_run const& order);
     void advance(target& on);
     void check_room(target const& on);
     void take_answer(answer_job const& answer);
@@ -70,6 +72,8 @@
     base::manual_clock clock;
     std::mt19937_64 generator;
     std::multimap<base::steady_time, std::function<void()>> events;
+    /// Delivery of the last message, by link and direction.
+    std::map<std::string, base::steady_time> last_delivery;
     std::vector<std::unique_ptr<target>> targets;
     std::vector<std::unique_ptr<agent_process>> agents;
     std::vector<std::unique_ptr<entry_process>> entries;
--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -559,6 +559,12 @@
         {
             return;
         }
+        auto const end = this->clock.steady_now() + chosen->wait + chosen->run;
+        if (end + this->limits.hop_time > of.useful_until)
+        {
+            this->give_up(of, "cannot end in time");
+            return;
+        }
         this->reserve(of, item, *chosen);
         this->send(of, item, *chosen);
     }
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -98,6 +98,7 @@
     this->add_agent("b", 32'000);
     auto job = make_job("j", 1);
     job.time_budget = milliseconds(10'000);
+    job.target_latency = milliseconds(3'000);
     this->submit(std::move(job));
     ASSERT_EQ(this->starts_at("a").size(), 1U);
     this->statuses.erase("a");
@@ -256,6 +257,19 @@
     EXPECT_GE(queued[0].useful_for, milliseconds(600));
 }
 
+// Guards against a task that is sent over and over to agents that return it at once, since its time
+// is over (simulation, 40 runs of a task within 400 ms).
+TEST_F(job_dispatcher_test, returned_task_without_time_left_ends_its_job)
+{
+    this->add_agent("a", 32'000);
+    this->submit(make_job("j", 1));
+    auto const sent = this->starts_at("a");
+    this->pass(milliseconds(1'000));
+    this->end(sent[0], "a", run_end::not_started);
+    EXPECT_TRUE(this->starts_at("a").empty());
+    EXPECT_EQ(this->outcome("j"), job_outcome::not_run);
+}
+
 // Pattern: a burst of a few jobs on a target that was idle. Waiting serves all of them.
 TEST_F(job_dispatcher_test, short_burst_is_queued_although_its_last_jobs_come_late)
 {
