--- a/filbertroad/net/http_test.cpp
+++ b/filbertroad/net/http_test.cpp
@@ -292,6 +292,57 @@
     EXPECT_FALSE(refused.error().may_have_arrived);
 }
 
+// Guards against work that goes on for a client that has left.
+TEST_F(http_test, client_that_closes_before_the_answer_is_reported)
+{
+    this->listen_and_hold();
+    bool is_gone = false;
+    {
+        http_client client(this->io, this->address(), 1);
+        client.send({.method = "GET", .path = "/"}, long_time, [](http_result const&) {});
+        ASSERT_TRUE(run_until(this->io, [this] { return !this->requests.empty(); }));
+        this->requests[0].client->on_gone([&] { is_gone = true; });
+    }
+    EXPECT_TRUE(run_until(this->io, [&] { return is_gone; }));
+    this->responders[0]({.status = 200});
+    EXPECT_TRUE(run_until(this->io, [this] { return this->server->is_idle(); }));
+}
+
+TEST_F(http_test, client_that_waits_is_not_reported_as_gone)
+{
+    this->listen_and_hold();
+    bool is_gone = false;
+    http_client client(this->io, this->address(), 1);
+    for (std::size_t round = 0; round < 3; ++round)
+    {
+        std::optional<http_result> result;
+        client.send({.method = "GET", .path = "/"}, long_time,
+                    [&](http_result answer) { result = std::move(answer); });
+        ASSERT_TRUE(run_until(this->io, [&] { return this->requests.size() == round + 1; }));
+        this->requests[round].client->on_gone([&] { is_gone = true; });
+        this->io.run_for(milliseconds(20));
+        this->responders[round]({.status = 200});
+        ASSERT_TRUE(run_until(this->io, [&] { return result.has_value(); }));
+        EXPECT_TRUE(result->has_value());
+    }
+    EXPECT_FALSE(is_gone);
+}
+
+TEST_F(http_test, answer_that_closes_says_so_and_ends_its_connection)
+{
+    this->listen_and_hold();
+    http_client client(this->io, this->address(), 1);
+    std::optional<http_result> result;
+    client.send({.method = "GET", .path = "/"}, long_time,
+                [&](http_result answer) { result = std::move(answer); });
+    ASSERT_TRUE(run_until(this->io, [this] { return !this->requests.empty(); }));
+    this->responders[0]({.status = 200, .close = true});
+    ASSERT_TRUE(run_until(this->io, [&] { return result.has_value(); }));
+    ASSERT_TRUE(result->has_value());
+    EXPECT_EQ(result->value().header("Connection"), "close");
+    EXPECT_TRUE(run_until(this->io, [this] { return this->server->is_idle(); }));
+}
+
 TEST_F(http_test, connections_over_the_limit_are_refused)
 {
     this->limits.max_connections = 1;
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -91,6 +91,8 @@
         return true;
     }
 
+    [[nodiscard]] std::uint16_t link_port() const override { return this->links->port(); }
+
     void submit(dispatch::job_request request, answer_handler handler) override
     {
         auto& present = this->handlers[request.key];
--- a/filbertroad/node/entry_node.hpp
+++ b/filbertroad/node/entry_node.hpp
@@ -38,6 +38,9 @@
     /// Binds the link address and starts its timers. False, with an event, if that fails.
     [[nodiscard]] virtual bool open() = 0;
 
+    /// Port in use for links, after open().
+    [[nodiscard]] virtual std::uint16_t link_port() const = 0;
+
     /// Takes a job; `handler` gets its answer, once. A second submission of a key that is present
     /// takes over the answer; the first handler is called with the same answer.
     virtual void submit(dispatch::job_request request, answer_handler handler) = 0;
