--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -1,5 +1,7 @@
 #include "filbertroad/dispatch/run_agent.hpp"
 
+#include "filbertroad/dispatch/internal/elapsed.hpp"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -13,9 +15,6 @@
 namespace
 {
 
-/// Step of the fencing token after a refusal; far above what lost answers can have added.
-constexpr std::uint64_t fencing_step = 1000;
-
 /// Remaining time counted for a run that is past its estimate, so that it still counts as load.
 constexpr double min_remaining_ms = 20;
 
@@ -25,11 +24,6 @@
         std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count());
 }
 
-milliseconds elapsed_ms(base::steady_time from, base::steady_time to)
-{
-    return std::chrono::duration_cast<milliseconds>(to - from);
-}
-
 std::size_t class_of(std::uint32_t priority)
 {
     return std::min<std::size_t>(priority, priority_classes - 1);
@@ -225,295 +219,6 @@
     }
 }
 
-void run_agent::start_answered(run_id const& id, start_answer answer)
-{
-    auto* const run = this->runs.find(id.task);
-    if (run == nullptr || run->target_run != id.run || run->state == run_state::queued)
-    {
-        return;
-    }
-    if (answer == start_answer::accepted)
-    {
-        run->is_known_started = true;
-        run->start_answered = this->clock.steady_now();
-        if (run->state == run_state::starting)
-        {
-            this->runs.change(*run, run_state::running);
-        }
-        return;
-    }
-    if (answer == start_answer::none)
-    {
-        if (run->state == run_state::starting && !run->is_known_started)
-        {
-            this->stop(*run, "start not answered");
-        }
-        return;
-    }
-    if (run->state == run_state::stopping)
-    {
-        this->end_run(id.task, run_end::not_started, run->stop_reason);
-        return;
-    }
-    switch (answer)
-    {
-    case start_answer::fenced:
-        this->renewal_fenced();
-        this->requeue(*run);
-        break;
-    case start_answer::stale_run:
-        ++run->target_run;
-        this->requeue(*run);
-        break;
-    case start_answer::late:
-    case start_answer::no_room:
-        this->requeue(*run);
-        break;
-    case start_answer::unhealthy:
-        this->paused_until = this->clock.steady_now() + this->limits.unhealthy_pause;
-        this->end_run(id.task, run_end::not_started, "target unhealthy");
-        this->return_queue("target unhealthy");
-        break;
-    default:
-        this->end_run(id.task, run_end::not_started, "target rejected the start");
-        break;
-    }
-}
-
-void run_agent::requeue(agent_run& run)
-{
-    this->runs.change(run, run_state::queued);
-    run.is_known_started = false;
-    this->note_change();
-}
-
-void run_agent::stop_answered(run_id const& id, bool answered)
-{
-    auto* const run = this->runs.find(id.task);
-    if (run != nullptr && run->target_run == id.run && run->state == run_state::stopping &&
-        answered && !run->is_stop_answered)
-    {
-        run->is_stop_answered = true;
-        run->stop_answered = this->clock.steady_now();
-        this->actions.emplace_back(look_at_runs{});
-    }
-}
-
-renewal run_agent::make_renewal()
-{
-    auto const now = this->clock.steady_now();
-    renewal next{this->fencing_token, this->last_seen, std::nullopt, now};
-    bool withhold = !this->is_reachable();
-    this->runs.for_each(
-        [&](agent_run const& run)
-        {
-            withhold = withhold || (run.state == run_state::stopping &&
-                                    now - run.stop_first_sent > this->limits.stop_patience);
-        });
-    if (!withhold)
-    {
-        next.lease_until_ms = this->grant_lease();
-    }
-    return next;
-}
-
-std::uint64_t run_agent::grant_lease()
-{
-    auto const now = this->clock.steady_now();
-    auto const target_now =
-        this->target_clock_ms +
-        static_cast<std::uint64_t>(elapsed_ms(this->target_clock_at, now).count());
-    auto const until = target_now + static_cast<std::uint64_t>(this->limits.lease.count());
-    // The clock read from the target is a lower bound at the time of its receipt.
-    auto const longest =
-        static_cast<double>(until - this->target_clock_ms) / this->limits.slowest_clock;
-    this->leases_over_at =
-        std::max(this->leases_over_at,
-                 this->target_clock_at + milliseconds(static_cast<std::int64_t>(longest) + 1));
-    return until;
-}
-
-bool run_agent::is_reachable() const
-{
-    return this->listed_born != 0 &&
-           this->clock.steady_now() - this->target_clock_at < this->limits.contact_timeout;
-}
-
-void run_agent::renewal_answered(renewal const& sent, run_list const& list)
-{
-    if (list.born < this->listed_born)
-    {
-        return;
-    }
-    if (list.born > this->listed_born)
-    {
-        if (this->listed_born != 0)
-        {
-            this->target_restarted(sent);
-        }
-        this->listed_born = list.born;
-        this->last_seen = 0;
-        this->target_clock_ms = 0;
-    }
-    for (auto const& finish : list.finished)
-    {
-        if (finish.number > this->last_seen)
-        {
-            this->take_finished(finish);
-            this->last_seen = finish.number;
-        }
-    }
-    if (list.clock_ms < this->target_clock_ms)
-    {
-        // A later answer has overtaken this one; its list is newer.
-        this->start_queued();
-        return;
-    }
-    this->target_clock_ms = list.clock_ms;
-    this->target_clock_at = this->clock.steady_now();
-    this->compare_with_list(sent, list);
-    this->stop_unknown(list);
-    if (!this->settled && !this->has_unknown_runs)
-    {
-        this->settled = true;
-        this->note_change();
-    }
-    this->start_queued();
-}
-
-void run_agent::renewal_fenced()
-{
-    this->fencing_token += fencing_step;
-}
-
-void run_agent::target_restarted(renewal const& sent)
-{
-    this->runs.for_each(
-        [&](agent_run& run)
-        {
-            if (run.state == run_state::stopping)
-            {
-                run.is_stop_answered = false;
-            }
-            // The new process may have taken a start that was sent to the old one. Runs that it
-            // took before it was asked for its list are in the list; the others need a stop as
-            // proof.
-            bool const is_unproved =
-                run.state == run_state::starting ||
-                (run.state == run_state::running && run.start_answered >= sent.made);
-            if (is_unproved)
-            {
-                this->stop(run, "target restarted");
-            }
-        });
-    this->return_queue("target restarted");
-    this->has_unknown_runs = false;
-    // Orders to the earlier process that are still under way must not take effect on the new one,
-    // which has forgotten the numbers of runs that ended.
-    this->renewal_fenced();
-}
-
-void run_agent::take_finished(listed_finish const& finish)
-{
-    auto* const run = this->runs.find(finish.id.task);
-    if (run == nullptr || run->target_run != finish.id.run || run->state == run_state::queued)
-    {
-        return;
-    }
-    auto const elapsed = elapsed_ms(run->started, this->clock.steady_now());
-    run->is_known_started = true;
-    switch (finish.end)
-    {
-    case listed_end::done:
-        this->speed.observe(run->order.estimate, elapsed);
-        this->end_run(finish.id.task, run_end::succeeded, "");
-        break;
-    case listed_end::failed:
-        this->end_run(finish.id.task, run_end::failed, "target reported a failure");
-        break;
-    case listed_end::stopped:
-        this->end_run(finish.id.task, run_end::lost,
-                      run->stop_reason.empty() ? "stopped" : run->stop_reason);
-        break;
-    case listed_end::lapsed:
-        this->end_run(finish.id.task, run_end::lost, "lease over");
-        break;
-    case listed_end::other:
-        this->end_run(finish.id.task, run_end::lost, "ended by the target");
-        break;
-    }
-}
-
-void run_agent::compare_with_list(renewal const& sent, run_list const& list)
-{
-    std::set<std::pair<std::string_view, std::uint32_t>> running;
-    for (auto const& listed : list.running)
-    {
-        running.emplace(listed.id.task, listed.id.run);
-    }
-    std::vector<std::string> over;
-    this->runs.for_each(
-        [&](agent_run& run)
-        {
-            bool const is_listed = running.contains({run.order.id.task, run.target_run});
-            if (run.state == run_state::queued)
-            {
-                return;
-            }
-            if (is_listed)
-            {
-                if (!run.is_known_started)
-                {
-                    run.is_known_started = true;
-                    run.start_answered = this->clock.steady_now();
-                }
-                if (run.state == run_state::starting)
-                {
-                    this->runs.change(run, run_state::running);
-                }
-                return;
-            }
-            // Only a list that was asked for after the answer proves that the run is over.
-            bool const start_is_old =
-                run.state == run_state::running && sent.made > run.start_answered;
-            bool const stop_is_old = run.state == run_state::stopping && run.is_stop_answered &&
-                                     sent.made >= run.stop_answered;
-            if (start_is_old || stop_is_old)
-            {
-                over.push_back(run.order.id.task);
-            }
-        });
-    for (auto const& task : over)
-    {
-        auto const& run = *this->runs.find(task);
-        auto const end = run.is_known_started ? run_end::lost : run_end::not_started;
-        this->end_run(task, end,
-                      run.stop_reason.empty() ? "missing from the target's list" : run.stop_reason);
-    }
-}
-
-void run_agent::stop_unknown(run_list const& list)
-{
-    this->has_unknown_runs = false;
-    for (auto const& listed : list.running)
-    {
-        auto const* const run = this->runs.find(listed.id.task);
-        bool const is_known =
-            run != nullptr && run->state != run_state::queued && run->target_run == listed.id.run;
-        if (!is_known && !this->ended_lately(listed.id))
-        {
-            this->has_unknown_runs = true;
-            this->actions.emplace_back(stop_run{listed.id, this->fencing_token});
-        }
-    }
-}
-
-bool run_agent::ended_lately(run_id const& id) const
-{
-    auto const found = this->ended_runs.find(id.task);
-    return found != this->ended_runs.end() && found->second.first == id.run;
-}
-
 void run_agent::set_zone_out(bool is_out)
 {
     if (std::exchange(this->zone_out, is_out) == is_out)
@@ -534,19 +239,6 @@
     this->note_change();
 }
 
-void run_agent::tick()
-{
-    if (!this->is_reachable())
-    {
-        this->return_queue("target unreachable");
-    }
-    this->expire_entries();
-    this->expire_leases();
-    this->expire_queued();
-    this->repeat_stops();
-    this->start_queued();
-}
-
 std::string_view run_agent::closed_reason() const
 {
     if (this->stopping)
@@ -660,10 +352,11 @@
     auto const* const run = this->runs.find(task);
     bool const was_started = run->state != run_state::queued;
     run_report report{run->order.id, end, std::string(reason), {}, {}};
-    report.queued = elapsed_ms(run->arrived, was_started ? run->started : this->clock.steady_now());
+    report.queued =
+        internal::elapsed(run->arrived, was_started ? run->started : this->clock.steady_now());
     if (was_started)
     {
-        report.elapsed = elapsed_ms(run->started, this->clock.steady_now());
+        report.elapsed = internal::elapsed(run->started, this->clock.steady_now());
     }
     auto const expected = static_cast<double>(run->order.estimate.count()) / this->speed.value();
     bool const was_slow = static_cast<double>(report.elapsed.count()) > expected;
@@ -685,85 +378,6 @@
     this->note_change();
 }
 
-void run_agent::expire_entries()
-{
-    this->runs.for_each(
-        [&](agent_run& run)
-        {
-            bool const is_active =
-                run.state == run_state::starting || run.state == run_state::running;
-            if (is_active && !this->has_authority(run.entry))
-            {
-                this->stop(run, "entry silent");
-            }
-        });
-    auto const now = this->clock.steady_now();
-    std::erase_if(this->ended_runs, [&](auto const& item)
-                  { return now - item.second.second > this->limits.crossing_time; });
-    std::erase_if(this->sessions,
-                  [&](auto const& item)
-                  {
-                      auto const& until = item.second.authority_until;
-                      return until != base::steady_time{} &&
-                             now - until > this->limits.session_retention;
-                  });
-}
-
-void run_agent::expire_leases()
-{
-    if (this->clock.steady_now() <= this->leases_over_at)
-    {
-        return;
-    }
-    std::vector<std::string> over;
-    this->runs.for_each(
-        [&](agent_run const& run)
-        {
-            if (run.is_known_started && run.state != run_state::queued)
-            {
-                over.push_back(run.order.id.task);
-            }
-        });
-    for (auto const& task : over)
-    {
-        this->end_run(task, run_end::lost, "lease over");
-    }
-}
-
-void run_agent::expire_queued()
-{
-    auto const now = this->clock.steady_now();
-    for (auto const& task : this->runs.queued())
-    {
-        auto const& run = *this->runs.find(task);
-        if (now - run.arrived > run.order.useful_for)
-        {
-            this->end_run(task, run_end::not_started, "no room in time");
-        }
-    }
-}
-
-void run_agent::repeat_stops()
-{
-    auto const now = this->clock.steady_now();
-    auto const answered_patience =
-        this->limits.order_timeout + this->limits.stop_time + this->limits.stop_patience;
-    this->runs.for_each(
-        [&](agent_run& run)
-        {
-            if (run.state != run_state::stopping)
-            {
-                return;
-            }
-            auto const patience =
-                run.is_stop_answered ? answered_patience : this->limits.order_timeout;
-            if (now - run.stop_sent > patience)
-            {
-                this->send_stop(run);
-            }
-        });
-}
-
 std::vector<agent_action> run_agent::take_actions()
 {
     if (std::exchange(this->status_changed, false))
@@ -802,7 +416,7 @@
                 status.queued_work[class_of(run.order.priority)] += expected * cores;
                 return;
             }
-            auto const elapsed = static_cast<double>(elapsed_ms(run.started, now).count());
+            auto const elapsed = static_cast<double>(internal::elapsed(run.started, now).count());
             status.running_work += std::max(expected - elapsed, min_remaining_ms) * cores;
         });
     return status;
--- /dev/null
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -0,0 +1,312 @@
+#include "filbertroad/dispatch/run_agent.hpp"
+
+#include "filbertroad/dispatch/internal/elapsed.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace filbertroad::dispatch
+{
+
+using internal::agent_run;
+using internal::run_state;
+
+namespace
+{
+
+/// Step of the fencing token after a refusal; far above what lost answers can have added.
+constexpr std::uint64_t fencing_step = 1000;
+
+} // namespace
+
+void run_agent::start_answered(run_id const& id, start_answer answer)
+{
+    auto* const run = this->runs.find(id.task);
+    if (run == nullptr || run->target_run != id.run || run->state == run_state::queued)
+    {
+        return;
+    }
+    if (answer == start_answer::accepted)
+    {
+        run->is_known_started = true;
+        run->start_answered = this->clock.steady_now();
+        if (run->state == run_state::starting)
+        {
+            this->runs.change(*run, run_state::running);
+        }
+        return;
+    }
+    if (answer == start_answer::none)
+    {
+        if (run->state == run_state::starting && !run->is_known_started)
+        {
+            this->stop(*run, "start not answered");
+        }
+        return;
+    }
+    if (run->state == run_state::stopping)
+    {
+        this->end_run(id.task, run_end::not_started, run->stop_reason);
+        return;
+    }
+    switch (answer)
+    {
+    case start_answer::fenced:
+        this->renewal_fenced();
+        this->requeue(*run);
+        break;
+    case start_answer::stale_run:
+        ++run->target_run;
+        this->requeue(*run);
+        break;
+    case start_answer::late:
+    case start_answer::no_room:
+        this->requeue(*run);
+        break;
+    case start_answer::unhealthy:
+        this->paused_until = this->clock.steady_now() + this->limits.unhealthy_pause;
+        this->end_run(id.task, run_end::not_started, "target unhealthy");
+        this->return_queue("target unhealthy");
+        break;
+    default:
+        this->end_run(id.task, run_end::not_started, "target rejected the start");
+        break;
+    }
+}
+
+void run_agent::requeue(agent_run& run)
+{
+    this->runs.change(run, run_state::queued);
+    run.is_known_started = false;
+    this->note_change();
+}
+
+void run_agent::stop_answered(run_id const& id, bool answered)
+{
+    auto* const run = this->runs.find(id.task);
+    if (run != nullptr && run->target_run == id.run && run->state == run_state::stopping &&
+        answered && !run->is_stop_answered)
+    {
+        run->is_stop_answered = true;
+        run->stop_answered = this->clock.steady_now();
+        this->actions.emplace_back(look_at_runs{});
+    }
+}
+
+renewal run_agent::make_renewal()
+{
+    auto const now = this->clock.steady_now();
+    renewal next{this->fencing_token, this->last_seen, std::nullopt, now};
+    bool withhold = !this->is_reachable();
+    this->runs.for_each(
+        [&](agent_run const& run)
+        {
+            withhold = withhold || (run.state == run_state::stopping &&
+                                    now - run.stop_first_sent > this->limits.stop_patience);
+        });
+    if (!withhold)
+    {
+        next.lease_until_ms = this->grant_lease();
+    }
+    return next;
+}
+
+std::uint64_t run_agent::grant_lease()
+{
+    auto const now = this->clock.steady_now();
+    auto const target_now =
+        this->target_clock_ms +
+        static_cast<std::uint64_t>(internal::elapsed(this->target_clock_at, now).count());
+    auto const until = target_now + static_cast<std::uint64_t>(this->limits.lease.count());
+    // The clock read from the target is a lower bound at the time of its receipt.
+    auto const longest =
+        static_cast<double>(until - this->target_clock_ms) / this->limits.slowest_clock;
+    this->leases_over_at =
+        std::max(this->leases_over_at,
+                 this->target_clock_at + milliseconds(static_cast<std::int64_t>(longest) + 1));
+    return until;
+}
+
+bool run_agent::is_reachable() const
+{
+    return this->listed_born != 0 &&
+           this->clock.steady_now() - this->target_clock_at < this->limits.contact_timeout;
+}
+
+void run_agent::renewal_answered(renewal const& sent, run_list const& list)
+{
+    if (list.born < this->listed_born)
+    {
+        return;
+    }
+    if (list.born > this->listed_born)
+    {
+        if (this->listed_born != 0)
+        {
+            this->target_restarted(sent);
+        }
+        this->listed_born = list.born;
+        this->last_seen = 0;
+        this->target_clock_ms = 0;
+    }
+    for (auto const& finish : list.finished)
+    {
+        if (finish.number > this->last_seen)
+        {
+            this->take_finished(finish);
+            this->last_seen = finish.number;
+        }
+    }
+    if (list.clock_ms < this->target_clock_ms)
+    {
+        // A later answer has overtaken this one; its list is newer.
+        this->start_queued();
+        return;
+    }
+    this->target_clock_ms = list.clock_ms;
+    this->target_clock_at = this->clock.steady_now();
+    this->compare_with_list(sent, list);
+    this->stop_unknown(list);
+    if (!this->settled && !this->has_unknown_runs)
+    {
+        this->settled = true;
+        this->note_change();
+    }
+    this->start_queued();
+}
+
+void run_agent::renewal_fenced()
+{
+    this->fencing_token += fencing_step;
+}
+
+void run_agent::target_restarted(renewal const& sent)
+{
+    this->runs.for_each(
+        [&](agent_run& run)
+        {
+            if (run.state == run_state::stopping)
+            {
+                run.is_stop_answered = false;
+            }
+            // The new process may have taken a start that was sent to the old one. Runs that it
+            // took before it was asked for its list are in the list; the others need a stop as
+            // proof.
+            bool const is_unproved =
+                run.state == run_state::starting ||
+                (run.state == run_state::running && run.start_answered >= sent.made);
+            if (is_unproved)
+            {
+                this->stop(run, "target restarted");
+            }
+        });
+    this->return_queue("target restarted");
+    this->has_unknown_runs = false;
+    // Orders to the earlier process that are still under way must not take effect on the new one,
+    // which has forgotten the numbers of runs that ended.
+    this->renewal_fenced();
+}
+
+void run_agent::take_finished(listed_finish const& finish)
+{
+    auto* const run = this->runs.find(finish.id.task);
+    if (run == nullptr || run->target_run != finish.id.run || run->state == run_state::queued)
+    {
+        return;
+    }
+    auto const elapsed = internal::elapsed(run->started, this->clock.steady_now());
+    run->is_known_started = true;
+    switch (finish.end)
+    {
+    case listed_end::done:
+        this->speed.observe(run->order.estimate, elapsed);
+        this->end_run(finish.id.task, run_end::succeeded, "");
+        break;
+    case listed_end::failed:
+        this->end_run(finish.id.task, run_end::failed, "target reported a failure");
+        break;
+    case listed_end::stopped:
+        this->end_run(finish.id.task, run_end::lost,
+                      run->stop_reason.empty() ? "stopped" : run->stop_reason);
+        break;
+    case listed_end::lapsed:
+        this->end_run(finish.id.task, run_end::lost, "lease over");
+        break;
+    case listed_end::other:
+        this->end_run(finish.id.task, run_end::lost, "ended by the target");
+        break;
+    }
+}
+
+void run_agent::compare_with_list(renewal const& sent, run_list const& list)
+{
+    std::set<std::pair<std::string_view, std::uint32_t>> running;
+    for (auto const& listed : list.running)
+    {
+        running.emplace(listed.id.task, listed.id.run);
+    }
+    std::vector<std::string> over;
+    this->runs.for_each(
+        [&](agent_run& run)
+        {
+            bool const is_listed = running.contains({run.order.id.task, run.target_run});
+            if (run.state == run_state::queued)
+            {
+                return;
+            }
+            if (is_listed)
+            {
+                if (!run.is_known_started)
+                {
+                    run.is_known_started = true;
+                    run.start_answered = this->clock.steady_now();
+                }
+                if (run.state == run_state::starting)
+                {
+                    this->runs.change(run, run_state::running);
+                }
+                return;
+            }
+            // Only a list that was asked for after the answer proves that the run is over.
+            bool const start_is_old =
+                run.state == run_state::running && sent.made > run.start_answered;
+            bool const stop_is_old = run.state == run_state::stopping && run.is_stop_answered &&
+                                     sent.made >= run.stop_answered;
+            if (start_is_old || stop_is_old)
+            {
+                over.push_back(run.order.id.task);
+            }
+        });
+    for (auto const& task : over)
+    {
+        auto const& run = *this->runs.find(task);
+        auto const end = run.is_known_started ? run_end::lost : run_end::not_started;
+        this->end_run(task, end,
+                      run.stop_reason.empty() ? "missing from the target's list" : run.stop_reason);
+    }
+}
+
+void run_agent::stop_unknown(run_list const& list)
+{
+    this->has_unknown_runs = false;
+    for (auto const& listed : list.running)
+    {
+        auto const* const run = this->runs.find(listed.id.task);
+        bool const is_known =
+            run != nullptr && run->state != run_state::queued && run->target_run == listed.id.run;
+        if (!is_known && !this->ended_lately(listed.id))
+        {
+            this->has_unknown_runs = true;
+            this->actions.emplace_back(stop_run{listed.id, this->fencing_token});
+        }
+    }
+}
+
+bool run_agent::ended_lately(run_id const& id) const
+{
+    auto const found = this->ended_runs.find(id.task);
+    return found != this->ended_runs.end() && found->second.first == id.run;
+}
+
+} // namespace filbertroad::dispatch
