--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -3,6 +3,7 @@
 #include "filbertroad/dispatch/control_snapshot.hpp"
 #include "filbertroad/net/link.hpp"
 #include "filbertroad/node/frame.hpp"
+#include "filbertroad/node/internal/renewal_loop.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -27,16 +28,6 @@
 /// Time in which changes of load are gathered before they are told.
 constexpr milliseconds status_delay{5};
 
-/// Longest answer time asked of the target in a renewal: a quarter of the lease, so that two lost
-/// renewals do not end it.
-constexpr milliseconds renewal_wait{150};
-
-/// Renewals under way at the same time. An answer that is lost then delays no end.
-constexpr int renewal_lanes = 2;
-
-/// Pause before the next renewal when one was not answered.
-constexpr milliseconds renewal_pause{10};
-
 /// Silence after which an open link is made anew.
 constexpr milliseconds link_silence_limit{400};
 
@@ -68,9 +59,16 @@
                  telemetry::event_log& log, telemetry::metrics_registry& metrics, std::string name,
                  std::string zone, std::vector<std::string> const& seeds,
                  dispatch::agent_limits limits)
-        : io(io), clock(clock), target(target), log(log), zone(zone),
+        : io(io), clock(clock), log(log), zone(zone),
           incarnation(base::to_unix_ms(clock.system_now())), identity{std::move(name), incarnation},
-          agent(clock, std::move(zone), limits, incarnation), tick_timer(io), status_timer(io),
+          target(target), agent(clock, std::move(zone), limits, incarnation),
+          renewals(io, agent, target,
+                   [this]
+                   {
+                       this->note_reachable();
+                       this->flush();
+                   }),
+          tick_timer(io), status_timer(io),
           ended(metrics.add_counter("filbertroad_runs_ended_total", "Runs that ended.")),
           run_time(metrics.add_histogram("filbertroad_run_seconds",
                                          "Time from the start of a run to its end."))
@@ -83,10 +81,7 @@
 
     void open() override
     {
-        for (int lane = 0; lane < renewal_lanes; ++lane)
-        {
-            this->renew();
-        }
+        this->renewals.start();
         this->tick_later();
     }
 
@@ -131,42 +126,6 @@
     }
 
 private:
-    void renew()
-    {
-        auto const renewal = this->agent.make_renewal();
-        this->target.renew(renewal, renewal_wait,
-                           [this, renewal](renewal_answer const& answer)
-                           { this->renewed(renewal, answer); });
-    }
-
-    void renewed(dispatch::renewal const& renewal, renewal_answer const& answer)
-    {
-        if (answer.is_fenced)
-        {
-            this->agent.renewal_fenced();
-        }
-        if (answer.list)
-        {
-            this->agent.renewal_answered(renewal, *answer.list);
-        }
-        this->note_reachable();
-        this->flush();
-        if (answer.list || answer.is_fenced)
-        {
-            this->renew();
-            return;
-        }
-        auto const timer = std::make_shared<asio::steady_timer>(this->io, renewal_pause);
-        timer->async_wait(
-            [this, timer](boost::system::error_code code)
-            {
-                if (!code)
-                {
-                    this->renew();
-                }
-            });
-    }
-
     void note_reachable()
     {
         bool const is_reachable = this->agent.is_reachable();
@@ -448,19 +407,7 @@
         }
     }
 
-    void carry_out(dispatch::look_at_runs& /*action*/)
-    {
-        auto const renewal = this->agent.make_renewal();
-        this->target.renew(renewal, milliseconds(0),
-                           [this, renewal](renewal_answer const& answer)
-                           {
-                               if (answer.list)
-                               {
-                                   this->agent.renewal_answered(renewal, *answer.list);
-                                   this->flush();
-                               }
-                           });
-    }
+    void carry_out(dispatch::look_at_runs& /*action*/) { this->renewals.look(); }
 
     void carry_out(dispatch::publish_status& /*action*/)
     {
@@ -489,12 +436,13 @@
 
     asio::io_context& io;
     base::clock const& clock;
-    target_port& target;
     telemetry::event_log& log;
     std::string zone;
     std::uint64_t incarnation;
     dispatch::process_identity identity;
+    target_port& target;
     dispatch::run_agent agent;
+    internal::renewal_loop renewals;
     dispatch::control_holder holder;
     std::map<std::string, entry_link> entries;
     asio::steady_timer tick_timer;
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include "filbertroad/net/link.hpp"
 #include "filbertroad/node/frame.hpp"
+#include "filbertroad/node/internal/job_metrics.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -53,18 +54,7 @@
                  std::vector<std::string> seeds, dispatch::dispatch_limits limits)
         : io(io), clock(clock), log(log), address(std::move(address)),
           seeds(std::move(seeds)), identity{std::move(name), base::to_unix_ms(clock.system_now())},
-          dispatcher(clock, limits), tick_timer(io), greeting_timer(io),
-          completed(metrics.add_counter("filbertroad_jobs_total", "Jobs answered.",
-                                        {{"outcome", "completed"}})),
-          failed(metrics.add_counter("filbertroad_jobs_total", "Jobs answered.",
-                                     {{"outcome", "failed"}})),
-          given_up(metrics.add_counter("filbertroad_jobs_total", "Jobs answered.",
-                                       {{"outcome", "given_up"}})),
-          refused(metrics.add_counter("filbertroad_jobs_total", "Jobs answered.",
-                                      {{"outcome", "not_run"}})),
-          runs_sent(metrics.add_counter("filbertroad_runs_sent_total", "Runs sent to agents.")),
-          held_time(metrics.add_histogram("filbertroad_job_seconds",
-                                          "Time from the receipt of a job to its answer."))
+          dispatcher(clock, limits), tick_timer(io), greeting_timer(io), job_metrics(metrics)
     {
     }
 
@@ -155,6 +145,11 @@
         this->flush_later();
     }
 
+    [[nodiscard]] std::size_t open_agents() const override
+    {
+        return this->dispatcher.open_agents();
+    }
+
     [[nodiscard]] bool is_ready() const override
     {
         return this->holder.current().version != 0 && this->dispatcher.open_agents() != 0;
@@ -427,7 +422,7 @@
 
     void carry_out(dispatch::send_start& action)
     {
-        this->runs_sent.increment();
+        this->job_metrics.count_run();
         this->log.write(events::run_sent, {{"task", action.order.id.task},
                                            {"run", std::to_string(action.order.id.run)},
                                            {"agent", action.agent},
@@ -453,7 +448,7 @@
 
     void carry_out(dispatch::answer_job& action)
     {
-        this->count(action);
+        this->job_metrics.count(action);
         this->log.write(events::job_answered, {{"key", action.key},
                                                {"outcome", std::string(to_string(action.outcome))},
                                                {"reason", action.reason},
@@ -468,26 +463,6 @@
         }
     }
 
-    void count(dispatch::answer_job const& answer)
-    {
-        switch (answer.outcome)
-        {
-        case dispatch::job_outcome::completed:
-            this->completed.increment();
-            break;
-        case dispatch::job_outcome::failed:
-            this->failed.increment();
-            break;
-        case dispatch::job_outcome::given_up:
-            this->given_up.increment();
-            break;
-        case dispatch::job_outcome::not_run:
-            this->refused.increment();
-            break;
-        }
-        this->held_time.observe(std::chrono::duration<double>(answer.held).count());
-    }
-
     asio::io_context& io;
     base::clock const& clock;
     telemetry::event_log& log;
@@ -506,12 +481,7 @@
     asio::steady_timer tick_timer;
     asio::steady_timer greeting_timer;
     bool is_flush_posted = false;
-    telemetry::counter& completed;
-    telemetry::counter& failed;
-    telemetry::counter& given_up;
-    telemetry::counter& refused;
-    telemetry::counter& runs_sent;
-    telemetry::histogram& held_time;
+    internal::job_metrics job_metrics;
 };
 
 } // namespace
--- a/filbertroad/node/entry_node.hpp
+++ b/filbertroad/node/entry_node.hpp
@@ -55,6 +55,8 @@
     virtual void offer_control(dispatch::control_snapshot snapshot) = 0;
     /// An entry that the platform's records name; agents are told to link to it.
     virtual void add_entry(dispatch::entry_address const& entry) = 0;
+    /// Agents that take work now.
+    [[nodiscard]] virtual std::size_t open_agents() const = 0;
     /// Whether jobs can be taken: there is a configuration and an agent that takes work.
     [[nodiscard]] virtual bool is_ready() const = 0;
 };
--- a/filbertroad/telemetry/events.hpp
+++ b/filbertroad/telemetry/events.hpp
@@ -128,6 +128,10 @@
     "A run was sent to an agent, with the waiting and running time expected of it."};
 inline constexpr event_definition request_refused{5006, severity::info, "request_refused",
                                                   "A request was not taken; no task of it ran."};
+inline constexpr event_definition job_received{
+    5007, severity::info, "job_received",
+    "A job was received; connects the id of its request with its key, and names the version of the "
+    "routes and the number of open agents that it met."};
 
 inline constexpr event_definition target_ejected{
     6001, severity::warning, "target_ejected",
@@ -202,6 +206,7 @@
     events::run_ended,
     events::run_sent,
     events::request_refused,
+    events::job_received,
     events::target_ejected,
     events::target_probed,
     events::target_returned,
