Name the job that a task belongs to its owner

No change of behaviour: the parameter was named for a preposition. 73 tests of dispatch and platform pass.

--- a/filbertroad/dispatch/internal/agent_view.cpp
+++ b/filbertroad/dispatch/internal/agent_view.cpp
@@ -76,9 +76,9 @@
 {
     auto free = this->last.free;
     double ahead = 0;
-    for (std::size_t of = 0; of < priority_classes; ++of)
+    for (std::size_t level = 0; level < priority_classes; ++level)
     {
-        ahead += of <= priority ? this->last.queued_work[of] : 0;
+        ahead += level <= priority ? this->last.queued_work[level] : 0;
     }
     double running = this->last.running_work;
     for (auto const& start : this->unseen)
--- a/filbertroad/dispatch/internal/dispatch_job.hpp
+++ b/filbertroad/dispatch/internal/dispatch_job.hpp
@@ -3,7 +3,7 @@
 
 /// Jobs and tasks of a job dispatcher; for its sources only.
 ///
-///     for (auto& item : of.tasks) if (item.state == task_state::waiting) ...
+///     for (auto& item : owner.tasks) if (item.state == task_state::waiting) ...
 
 #include "filbertroad/dispatch/job_dispatcher.hpp"
 
--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -119,9 +119,9 @@
     {
         return false;
     }
-    auto& of = *found->second;
-    this->give_up(of, "cancelled");
-    this->settle(of);
+    auto& owner = *found->second;
+    this->give_up(owner, "cancelled");
+    this->settle(owner);
     return true;
 }
 
@@ -145,9 +145,9 @@
         this->runs_of_agent_over(agent.name, "agent restarted");
     }
     send_resume resume{agent.name, {}};
-    for (auto const& [key, of] : this->jobs)
+    for (auto const& [key, owner] : this->jobs)
     {
-        for (auto const& item : of->tasks)
+        for (auto const& item : owner->tasks)
         {
             if (item.state == task_state::sent && item.agent == agent.name)
             {
@@ -189,35 +189,36 @@
     {
         return;
     }
-    auto& of = *found->second.owner;
-    auto& item = of.tasks[found->second.index];
+    auto& owner = *found->second.owner;
+    auto& item = owner.tasks[found->second.index];
     bool const is_current =
         item.state == task_state::sent && item.run == report.id.run && item.agent == agent;
     if (is_current)
     {
-        this->take_end(of, item, agent, report);
-        this->settle(of);
+        this->take_end(owner, item, agent, report);
+        this->settle(owner);
     }
 }
 
-void job_dispatcher::take_end(job& of, task& item, std::string_view agent, run_report const& report)
+void job_dispatcher::take_end(job& owner, task& item, std::string_view agent,
+                              run_report const& report)
 {
     auto& view = this->agents.find(agent)->second;
     item.state = task_state::waiting;
     if (report.end != run_end::not_started)
     {
-        of.may_have_run = true;
+        owner.may_have_run = true;
     }
     switch (report.end)
     {
     case run_end::succeeded:
         item.state = task_state::succeeded;
-        --of.unfinished;
+        --owner.unfinished;
         view.note_success();
-        this->release_steps(of);
-        if (of.unfinished == 0)
+        this->release_steps(owner);
+        if (owner.unfinished == 0)
         {
-            this->finish(of, job_outcome::completed, "");
+            this->finish(owner, job_outcome::completed, "");
             return;
         }
         break;
@@ -225,9 +226,9 @@
         ++item.failures;
         item.avoided = agent;
         view.note_failure(this->clock.steady_now());
-        if (item.failures >= of.request.max_attempts)
+        if (item.failures >= owner.request.max_attempts)
         {
-            this->finish(of, job_outcome::failed, "a task failed in every attempt");
+            this->finish(owner, job_outcome::failed, "a task failed in every attempt");
             return;
         }
         break;
@@ -240,15 +241,15 @@
         }
         break;
     }
-    this->place_waiting(of);
+    this->place_waiting(owner);
 }
 
 void job_dispatcher::runs_of_agent_over(std::string_view agent, std::string_view reason)
 {
     std::vector<run_report> reports;
-    for (auto const& [key, of] : this->jobs)
+    for (auto const& [key, owner] : this->jobs)
     {
-        for (auto const& item : of->tasks)
+        for (auto const& item : owner->tasks)
         {
             if (item.state == task_state::sent && item.agent == agent)
             {
@@ -262,37 +263,37 @@
         auto const found = this->tasks.find(report.id.task);
         if (found != this->tasks.end())
         {
-            auto& of = *found->second.owner;
-            this->take_end(of, of.tasks[found->second.index], agent, report);
-            this->settle(of);
+            auto& owner = *found->second.owner;
+            this->take_end(owner, owner.tasks[found->second.index], agent, report);
+            this->settle(owner);
         }
     }
 }
 
-bool job_dispatcher::is_not_run(job const& of)
+bool job_dispatcher::is_not_run(job const& owner)
 {
-    return !of.may_have_run &&
-           std::none_of(of.tasks.begin(), of.tasks.end(),
+    return !owner.may_have_run &&
+           std::none_of(owner.tasks.begin(), owner.tasks.end(),
                         [](task const& item) { return item.state == task_state::sent; });
 }
 
-void job_dispatcher::give_up(job& of, std::string_view reason)
+void job_dispatcher::give_up(job& owner, std::string_view reason)
 {
-    this->finish(of, is_not_run(of) ? job_outcome::not_run : job_outcome::given_up, reason);
+    this->finish(owner, is_not_run(owner) ? job_outcome::not_run : job_outcome::given_up, reason);
 }
 
-void job_dispatcher::finish(job& of, job_outcome outcome, std::string_view reason)
+void job_dispatcher::finish(job& owner, job_outcome outcome, std::string_view reason)
 {
-    if (std::exchange(of.is_ended, true))
+    if (std::exchange(owner.is_ended, true))
     {
         return;
     }
     answer_job answer;
-    answer.key = of.request.key;
+    answer.key = owner.request.key;
     answer.outcome = outcome;
     answer.reason = reason;
-    answer.held = internal::elapsed(of.arrived, this->clock.steady_now());
-    answer.runs = of.runs;
+    answer.held = internal::elapsed(owner.arrived, this->clock.steady_now());
+    answer.runs = owner.runs;
     if (outcome == job_outcome::not_run)
     {
         answer.retry_after = this->limits.retry_after;
@@ -300,13 +301,13 @@
     this->actions.emplace_back(std::move(answer));
 }
 
-void job_dispatcher::settle(job& of)
+void job_dispatcher::settle(job& owner)
 {
-    if (!of.is_ended)
+    if (!owner.is_ended)
     {
         return;
     }
-    for (auto const& item : of.tasks)
+    for (auto const& item : owner.tasks)
     {
         if (item.state == task_state::sent && !item.is_cancel_sent)
         {
@@ -314,7 +315,7 @@
         }
         this->tasks.erase(item.name);
     }
-    this->jobs.erase(std::string(of.request.key));
+    this->jobs.erase(std::string(owner.request.key));
 }
 
 std::vector<dispatch_action> job_dispatcher::take_actions()
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -197,26 +197,26 @@
 
     /// Fastest agent with free room on which the task ends within the objective; if there is none,
     /// the one with the least expected completion. `avoided` only if no other is open.
-    [[nodiscard]] std::optional<choice> choose(job const& of, task const& item,
+    [[nodiscard]] std::optional<choice> choose(job const& owner, task const& item,
                                                std::string const& avoided) const;
     [[nodiscard]] bool is_crowded_out(base::steady_time now) const;
-    void release_steps(job& of);
-    void place_waiting(job& of);
+    void release_steps(job& owner);
+    void place_waiting(job& owner);
     /// Counts the task as load of the chosen agent.
-    void reserve(job const& of, task const& item, choice const& chosen);
-    void send(job& of, task& item, choice const& chosen);
+    void reserve(job const& owner, task const& item, choice const& chosen);
+    void send(job& owner, task& item, choice const& chosen);
     /// Whether it is certain that no task of the job has run.
-    [[nodiscard]] static bool is_not_run(job const& of);
+    [[nodiscard]] static bool is_not_run(job const& owner);
     /// Ends a job that cannot be completed; tells the caller whether a task may have run.
-    void give_up(job& of, std::string_view reason);
-    bool refuse_if_too_late(job& of);
+    void give_up(job& owner, std::string_view reason);
+    bool refuse_if_too_late(job& owner);
     /// Places the tasks of a new job, or refuses it as a whole.
-    void admit(job& of);
-    void settle(job& of);
-    void finish(job& of, job_outcome outcome, std::string_view reason);
-    void check_job(job& of);
-    void check_task(job& of, task& item);
-    void take_end(job& of, task& item, std::string_view agent, run_report const& report);
+    void admit(job& owner);
+    void settle(job& owner);
+    void finish(job& owner, job_outcome outcome, std::string_view reason);
+    void check_job(job& owner);
+    void check_task(job& owner, task& item);
+    void take_end(job& owner, task& item, std::string_view agent, run_report const& report);
     void runs_of_agent_over(std::string_view agent, std::string_view reason);
 
     base::clock const& clock;
--- a/filbertroad/dispatch/job_dispatcher_checks.cpp
+++ b/filbertroad/dispatch/job_dispatcher_checks.cpp
@@ -1,6 +1,7 @@
 #include "filbertroad/dispatch/job_dispatcher.hpp"
 
 #include "filbertroad/dispatch/internal/dispatch_job.hpp"
+
 #include <algorithm>
 
 namespace filbertroad::dispatch
@@ -10,7 +11,7 @@
 {
     std::vector<std::string> keys;
     keys.reserve(this->jobs.size());
-    for (auto const& [key, of] : this->jobs)
+    for (auto const& [key, owner] : this->jobs)
     {
         keys.push_back(key);
     }
@@ -24,52 +25,52 @@
     }
 }
 
-void job_dispatcher::check_job(job& of)
+void job_dispatcher::check_job(job& owner)
 {
-    for (auto& item : of.tasks)
+    for (auto& item : owner.tasks)
     {
-        if (of.is_ended)
+        if (owner.is_ended)
         {
             return;
         }
         if (item.state == task_state::sent)
         {
-            this->check_task(of, item);
+            this->check_task(owner, item);
         }
     }
-    if (of.is_ended)
+    if (owner.is_ended)
     {
         return;
     }
     auto const now = this->clock.steady_now();
-    if (now >= of.deadline)
+    if (now >= owner.deadline)
     {
-        this->give_up(of, "time budget over");
+        this->give_up(owner, "time budget over");
         return;
     }
-    this->place_waiting(of);
-    if (of.is_ended || this->refuse_if_too_late(of))
+    this->place_waiting(owner);
+    if (owner.is_ended || this->refuse_if_too_late(owner))
     {
         return;
     }
     bool const is_unplaced =
-        std::any_of(of.tasks.begin(), of.tasks.end(),
+        std::any_of(owner.tasks.begin(), owner.tasks.end(),
                     [](task const& item) { return item.state == task_state::waiting; });
-    auto const patience = internal::scaled(of.objective, this->limits.waiting_share);
-    if (is_unplaced && is_not_run(of) && now - of.arrived > patience)
+    auto const patience = internal::scaled(owner.objective, this->limits.waiting_share);
+    if (is_unplaced && is_not_run(owner) && now - owner.arrived > patience)
     {
-        this->finish(of, job_outcome::not_run, "no target takes work");
+        this->finish(owner, job_outcome::not_run, "no target takes work");
     }
 }
 
-void job_dispatcher::check_task(job& of, task& item)
+void job_dispatcher::check_task(job& owner, task& item)
 {
     auto const now = this->clock.steady_now();
     auto const& view = this->agents.find(item.agent)->second;
     auto const silence = now - view.last_heard();
     if (silence > this->limits.runs_over_after)
     {
-        this->take_end(of, item, item.agent,
+        this->take_end(owner, item, item.agent,
                        {{item.name, item.run}, run_end::lost, "agent silent", {}, {}});
         return;
     }
@@ -77,10 +78,10 @@
     {
         // The run is being stopped by now; whether a further one can end in time is known.
         auto const again = view.last_heard() + this->limits.runs_over_after + item.order.estimate;
-        if (again > of.deadline)
+        if (again > owner.deadline)
         {
-            of.may_have_run = true;
-            this->finish(of, job_outcome::given_up, "agent silent");
+            owner.may_have_run = true;
+            this->finish(owner, job_outcome::given_up, "agent silent");
         }
         return;
     }
@@ -90,9 +91,9 @@
     {
         return;
     }
-    auto const other = this->choose(of, item, item.agent);
+    auto const other = this->choose(owner, item, item.agent);
     bool const helps = other && *other->agent != item.agent &&
-                       now + other->wait + other->run + this->limits.stall_slack < of.deadline;
+                       now + other->wait + other->run + this->limits.stall_slack < owner.deadline;
     if (helps)
     {
         item.is_cancel_sent = true;
--- a/filbertroad/dispatch/job_dispatcher_placement.cpp
+++ b/filbertroad/dispatch/job_dispatcher_placement.cpp
@@ -21,24 +21,24 @@
     return suspended * 2 > open;
 }
 
-std::optional<job_dispatcher::choice> job_dispatcher::choose(job const& of, task const& item,
+std::optional<job_dispatcher::choice> job_dispatcher::choose(job const& owner, task const& item,
                                                              std::string const& avoided) const
 {
     auto const now = this->clock.steady_now();
-    auto const& step = of.request.steps[item.step];
-    auto const prompt_until = of.arrived + of.objective - this->limits.prompt_margin;
+    auto const& step = owner.request.steps[item.step];
+    auto const prompt_until = owner.arrived + owner.objective - this->limits.prompt_margin;
     // Half of the targets stay in use, since a fault of so many is not one of the targets.
     bool const ignore_suspension = this->is_crowded_out(now);
     std::optional<choice> best;
     std::optional<choice> last_resort;
     for (auto const& [name, view] : this->agents)
     {
-        if (!view.is_open(now) || view.status().service != of.request.service ||
+        if (!view.is_open(now) || view.status().service != owner.request.service ||
             !view.status().capacity.holds(step.room))
         {
             continue;
         }
-        choice candidate{&name, view.expected_wait(step.room, of.request.priority),
+        choice candidate{&name, view.expected_wait(step.room, owner.request.priority),
                          view.expected_run(step.estimate)};
         candidate.is_prompt = candidate.wait == milliseconds(0) &&
                               now + candidate.run + this->limits.hop_time <= prompt_until;
@@ -53,17 +53,17 @@
     return best ? best : last_resort;
 }
 
-void job_dispatcher::release_steps(job& of)
+void job_dispatcher::release_steps(job& owner)
 {
     auto const is_done = [&](std::uint32_t step)
     {
-        return std::none_of(of.tasks.begin(), of.tasks.end(),
+        return std::none_of(owner.tasks.begin(), owner.tasks.end(),
                             [&](task const& item)
                             { return item.step == step && item.state != task_state::succeeded; });
     };
-    for (auto& item : of.tasks)
+    for (auto& item : owner.tasks)
     {
-        auto const& after = of.request.steps[item.step].after;
+        auto const& after = owner.request.steps[item.step].after;
         if (item.state == task_state::blocked && std::all_of(after.begin(), after.end(), is_done))
         {
             item.state = task_state::waiting;
@@ -71,114 +71,114 @@
     }
 }
 
-bool job_dispatcher::refuse_if_too_late(job& of)
+bool job_dispatcher::refuse_if_too_late(job& owner)
 {
     auto const now = this->clock.steady_now();
-    for (auto const& item : of.tasks)
+    for (auto const& item : owner.tasks)
     {
         if (item.state != task_state::waiting)
         {
             continue;
         }
-        auto const chosen = this->choose(of, item, item.avoided);
-        if (chosen && now + chosen->wait + chosen->run + this->limits.hop_time > of.useful_until)
+        auto const chosen = this->choose(owner, item, item.avoided);
+        if (chosen && now + chosen->wait + chosen->run + this->limits.hop_time > owner.useful_until)
         {
-            this->give_up(of, "cannot end in time");
+            this->give_up(owner, "cannot end in time");
             return true;
         }
     }
     return false;
 }
 
-void job_dispatcher::admit(job& of)
+void job_dispatcher::admit(job& owner)
 {
     auto const now = this->clock.steady_now();
     milliseconds expected_end{};
     std::vector<std::pair<task*, choice>> plan;
-    for (auto& item : of.tasks)
+    for (auto& item : owner.tasks)
     {
         if (item.state != task_state::waiting)
         {
             continue;
         }
-        auto const chosen = this->choose(of, item, item.avoided);
+        auto const chosen = this->choose(owner, item, item.avoided);
         if (!chosen)
         {
             break;
         }
-        this->reserve(of, item, *chosen);
+        this->reserve(owner, item, *chosen);
         plan.emplace_back(&item, *chosen);
         expected_end = std::max(expected_end, chosen->wait + chosen->run + this->limits.hop_time);
     }
     auto const lateness = static_cast<double>(expected_end.count()) /
-                          static_cast<double>(std::max<std::int64_t>(of.objective.count(), 1));
-    bool const is_admitted = this->overload.admits(of.request.priority, lateness, now) &&
-                             now + expected_end <= of.useful_until;
+                          static_cast<double>(std::max<std::int64_t>(owner.objective.count(), 1));
+    bool const is_admitted = this->overload.admits(owner.request.priority, lateness, now) &&
+                             now + expected_end <= owner.useful_until;
     if (!is_admitted)
     {
         for (auto planned = plan.rbegin(); planned != plan.rend(); ++planned)
         {
             this->agents.find(*planned->second.agent)->second.forget_last_sent();
         }
-        this->finish(of, job_outcome::not_run, "overload");
+        this->finish(owner, job_outcome::not_run, "overload");
         return;
     }
     for (auto& [item, chosen] : plan)
     {
-        this->send(of, *item, chosen);
+        this->send(owner, *item, chosen);
     }
 }
 
-void job_dispatcher::place_waiting(job& of)
+void job_dispatcher::place_waiting(job& owner)
 {
-    for (auto& item : of.tasks)
+    for (auto& item : owner.tasks)
     {
         if (item.state != task_state::waiting)
         {
             continue;
         }
-        auto const chosen = this->choose(of, item, item.avoided);
+        auto const chosen = this->choose(owner, item, item.avoided);
         if (!chosen)
         {
             return;
         }
         auto const end = this->clock.steady_now() + chosen->wait + chosen->run;
-        if (end + this->limits.hop_time > of.useful_until)
+        if (end + this->limits.hop_time > owner.useful_until)
         {
-            this->give_up(of, "cannot end in time");
+            this->give_up(owner, "cannot end in time");
             return;
         }
-        this->reserve(of, item, *chosen);
-        this->send(of, item, *chosen);
+        this->reserve(owner, item, *chosen);
+        this->send(owner, item, *chosen);
     }
 }
 
-void job_dispatcher::reserve(job const& of, task const& item, choice const& chosen)
+void job_dispatcher::reserve(job const& owner, task const& item, choice const& chosen)
 {
-    auto const& room = of.request.steps[item.step].room;
+    auto const& room = owner.request.steps[item.step].room;
     auto const work =
         static_cast<double>(chosen.run.count()) * static_cast<double>(room.cpu) / 1000;
-    this->agents.find(*chosen.agent)->second.note_sent(room, work, of.request.priority);
+    this->agents.find(*chosen.agent)->second.note_sent(room, work, owner.request.priority);
 }
 
-void job_dispatcher::send(job& of, task& item, choice const& chosen)
+void job_dispatcher::send(job& owner, task& item, choice const& chosen)
 {
     auto const now = this->clock.steady_now();
-    auto const& step = of.request.steps[item.step];
+    auto const& step = owner.request.steps[item.step];
     item.state = task_state::sent;
     item.agent = *chosen.agent;
     item.sent = now;
     item.expected = chosen.wait + chosen.run + this->limits.hop_time;
     item.is_cancel_sent = false;
     ++item.run;
-    ++of.runs;
-    auto const time_left = internal::elapsed(now, of.useful_until) - chosen.run;
+    ++owner.runs;
+    auto const time_left = internal::elapsed(now, owner.useful_until) - chosen.run;
     auto const queue_limit = chosen.wait * this->limits.queue_factor + this->limits.queue_slack;
     item.order = {.id = {item.name, item.run},
-                  .payload = of.request.payload,
+                  .payload = owner.request.payload,
                   .room = step.room,
                   .estimate = step.estimate,
-                  .priority = of.request.priority,
+                  .priority = owner.request.priority,
                   .useful_for = std::clamp(time_left, milliseconds(0), queue_limit)};
     this->actions.emplace_back(send_start{item.agent, item.order, chosen.wait, chosen.run});
 }
