--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -1,4 +1,4 @@
-"""A whole system on 127.0.0.1 for failure tests: starts it through scripts/local, sends jobs to it
+"""A whole system on a loopback host for failure tests: starts it through scripts/local, sends jobs to it
 as callers do, injects failures into processes by their ids, and reads the journals of the targets.
 
     with LocalSystem() as system:
--- a/tests/system_test.py
+++ b/tests/system_test.py
@@ -140,6 +140,15 @@
             total = sum(outcomes.values())
             self.assertLess(outcomes["failed"], total * 0.05, outcomes)
 
+    # Guards against a process of one system that reaches a process of another under a port that was
+    # free for a moment: a target then announces itself to an agent of the other system.
+    def test_systems_side_by_side_share_no_host(self):
+        with LocalSystem(entries=1, targets=1) as first, \
+                LocalSystem(entries=1, targets=1) as second:
+            hosts = [{process.address.rpartition(":")[0] for process in system.processes.values()}
+                     for system in (first, second)]
+            self.assertEqual(hosts[0] & hosts[1], set())
+
     def test_leaving_target_and_agent_finish_their_work(self):
         with LocalSystem() as system:
             load = system.start_load(seconds=6)
