Log why an agent starts nothing on its target

Events 6009 and 6010: a change of the reason for which nothing is started is a change of belief and had no line, so that a target that stands idle beside loaded ones could not be explained from the logs.

--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -212,6 +212,8 @@
     [[nodiscard]] bool is_idle() const { return this->runs.empty(); }
     /// Whether the target has answered lately.
     [[nodiscard]] bool is_reachable() const;
+    /// Why nothing may be started; empty if starts are possible.
+    [[nodiscard]] std::string_view closed_reason() const;
     [[nodiscard]] bool has_target() const { return this->target.has_value(); }
 
 private:
@@ -226,8 +228,6 @@
         std::map<std::string, run_report> unacknowledged;
     };
 
-    /// Why nothing may be started; empty if starts are possible.
-    [[nodiscard]] std::string_view closed_reason() const;
     /// Learnt speed, lowered at once while runs take much longer than expected.
     [[nodiscard]] double present_speed() const;
     [[nodiscard]] bool has_authority(std::string_view entry) const;
--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -135,6 +135,22 @@
         }
     }
 
+    void note_closed()
+    {
+        auto const reason = this->agent.closed_reason();
+        if (reason == this->last_closed_reason)
+        {
+            return;
+        }
+        this->last_closed_reason = reason;
+        if (reason.empty())
+        {
+            this->log.write(events::starts_open);
+            return;
+        }
+        this->log.write(events::starts_closed, {{"reason", std::string(reason)}});
+    }
+
     void tick_later()
     {
         this->tick_timer.expires_after(tick_period);
@@ -341,6 +357,7 @@
 
     void flush()
     {
+        this->note_closed();
         this->is_flush_posted = false;
         for (auto& action : this->agent.take_actions())
         {
@@ -450,6 +467,7 @@
     bool is_flush_posted = false;
     bool is_status_planned = false;
     bool was_reachable = true;
+    std::string last_closed_reason;
     std::function<void()> on_stopped;
     telemetry::counter& ended;
     telemetry::histogram& run_time;
--- a/filbertroad/telemetry/events.hpp
+++ b/filbertroad/telemetry/events.hpp
@@ -151,6 +151,11 @@
     "The target does not answer; nothing is started on it."};
 inline constexpr event_definition target_reachable{6008, severity::info, "target_reachable",
                                                    "The target answers again."};
+inline constexpr event_definition starts_closed{
+    6009, severity::info, "starts_closed",
+    "The agent starts nothing on its target, for the reason."};
+inline constexpr event_definition starts_open{6010, severity::info, "starts_open",
+                                              "The agent starts runs on its target again."};
 
 inline constexpr event_definition link_error{7001, severity::warning, "link_error",
                                              "A link failed or could not be made."};
@@ -215,6 +220,8 @@
     events::target_leaving,
     events::target_unreachable,
     events::target_reachable,
+    events::starts_closed,
+    events::starts_open,
     events::link_error,
     events::bad_input,
     events::lines_dropped,
