Send late tasks to idle slow targets, not to the queue of fast ones

A printed list of the candidates shows why: a task of 152 ms took 339 ms through the queue and 378 ms on the idle target, both beyond its objective of 303 ms, and least completion chose the queue, which made the tasks behind it late too.

Ruled out: closed or unreachable targets (events 6009: none closed in that time), suspended targets, wrong speeds (run times as expected).

Change: a task that is late in any case takes free room if it still ends in time to be of use with a run 40 % longer than expected. A queue in which it ends within the objective goes before. Ruled out in a test: targets so slow that the answer is of no use.

--- a/filbertroad/dispatch/dispatcher_fixture.hpp
+++ b/filbertroad/dispatch/dispatcher_fixture.hpp
@@ -49,6 +49,17 @@
         this->collect();
     }
 
+    /// The agent has no free room and queued work that makes every task of make_job() late.
+    void report_long_queue(std::string const& name)
+    {
+        auto status = this->statuses[name];
+        auto const cores = static_cast<double>(status.capacity.cpu) / 1000;
+        status.free = {};
+        status.running_work = cores * 100;
+        status.queued_work[0] = cores * 250;
+        this->report(name, status);
+    }
+
     /// All agents report as they did last.
     void report_all()
     {
--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -58,9 +58,9 @@
 
 bool job_dispatcher::choice::is_better_than(choice const& other) const
 {
-    if (this->is_prompt != other.is_prompt)
+    if (this->rank != other.rank)
     {
-        return this->is_prompt;
+        return this->rank < other.rank;
     }
     return this->wait + this->run < other.wait + other.run;
 }
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -50,6 +50,8 @@
     /// off by 40 % moves the run time and the objective alike, so that no share of the run time is
     /// kept back.
     milliseconds prompt_margin{25};
+    /// Share by which a run may take longer than its estimate, from the platform's runs.
+    std::int64_t run_excess_percent = 40;
     /// Multiple of the latency objective after which an answer is of no use to the caller.
     double useful_factor = 3;
     /// Jobs held at the same time; more are refused.
@@ -184,21 +186,35 @@
         job* owner = nullptr;
         std::size_t index = 0;
     };
+    /// The lower one goes first; within one rank the least expected completion does.
+    enum class choice_rank
+    {
+        /// Room is free now and the run ends within the objective.
+        prompt,
+        /// The run waits for room and ends within the objective.
+        in_time,
+        /// Room is free now and the answer is late, but still of use to the caller. A late task on
+        /// an idle target delays no other; in the queue of a fast target it makes others late.
+        late_on_free_room,
+        late,
+    };
+
     struct choice
     {
         std::string const* agent = nullptr;
         milliseconds wait{};
         milliseconds run{};
-        /// Room is free now and the run ends within the objective; goes before any other.
-        bool is_prompt = false;
+        choice_rank rank = choice_rank::late;
 
         [[nodiscard]] bool is_better_than(choice const& other) const;
     };
 
-    /// Fastest agent with free room on which the task ends within the objective; if there is none,
-    /// the one with the least expected completion. `avoided` only if no other is open.
+    /// The open agent with the best rank and then the least expected completion. `avoided` only if
+    /// no other is open.
     [[nodiscard]] std::optional<choice> choose(job const& owner, task const& item,
                                                std::string const& avoided) const;
+    [[nodiscard]] choice_rank rank(job const& owner, choice const& candidate,
+                                   base::steady_time now) const;
     [[nodiscard]] bool is_crowded_out(base::steady_time now) const;
     void release_steps(job& owner);
     void place_waiting(job& owner);
--- a/filbertroad/dispatch/job_dispatcher_placement.cpp
+++ b/filbertroad/dispatch/job_dispatcher_placement.cpp
@@ -21,12 +21,30 @@
     return suspended * 2 > open;
 }
 
+job_dispatcher::choice_rank job_dispatcher::rank(job const& owner, choice const& candidate,
+                                                 base::steady_time now) const
+{
+    auto const end = now + candidate.wait + candidate.run + this->limits.hop_time;
+    bool const is_free = candidate.wait == milliseconds(0);
+    auto const objective_end = owner.arrived + owner.objective;
+    if (is_free && end <= objective_end - this->limits.prompt_margin)
+    {
+        return choice_rank::prompt;
+    }
+    if (end <= objective_end)
+    {
+        return choice_rank::in_time;
+    }
+    bool const is_useful =
+        end + candidate.run * this->limits.run_excess_percent / 100 <= owner.useful_until;
+    return is_free && is_useful ? choice_rank::late_on_free_room : choice_rank::late;
+}
+
 std::optional<job_dispatcher::choice> job_dispatcher::choose(job const& owner, task const& item,
                                                              std::string const& avoided) const
 {
     auto const now = this->clock.steady_now();
     auto const& step = owner.request.steps[item.step];
-    auto const prompt_until = owner.arrived + owner.objective - this->limits.prompt_margin;
     // Half of the targets stay in use, since a fault of so many is not one of the targets.
     bool const ignore_suspension = this->is_crowded_out(now);
     std::optional<choice> best;
@@ -40,8 +58,7 @@
         }
         choice candidate{&name, view.expected_wait(step.room, owner.request.priority),
                          view.expected_run(step.estimate)};
-        candidate.is_prompt = candidate.wait == milliseconds(0) &&
-                              now + candidate.run + this->limits.hop_time <= prompt_until;
+        candidate.rank = this->rank(owner, candidate, now);
         bool const is_last_resort =
             avoided == name || (view.is_suspended(now) && !ignore_suspension);
         auto& slot = is_last_resort ? last_resort : best;
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -223,6 +223,31 @@
     EXPECT_EQ(this->starts_at("fast").size(), 1U);
 }
 
+// Pattern: five targets of eleven are left, and the queue at the fast ones makes every task late,
+// while a slow target stands idle because each task alone ends a little sooner in the queue.
+TEST_F(job_dispatcher_test, task_that_is_late_in_any_case_goes_to_the_idle_slow_target)
+{
+    this->add_agent("fast", 32'000, 1);
+    this->submit(make_job("first", 1));
+    ASSERT_EQ(this->starts_at("fast").size(), 1U);
+    this->report_long_queue("fast");
+    this->add_agent("slow", 32'000, 0.4);
+    this->submit(make_job("late", 1));
+    EXPECT_EQ(this->starts_at("slow").size(), 1U);
+}
+
+// The other side: a target so slow that the caller would get no answer of use takes nothing.
+TEST_F(job_dispatcher_test, idle_target_that_is_too_slow_for_any_use_takes_nothing)
+{
+    this->add_agent("fast", 32'000, 1);
+    this->submit(make_job("first", 1));
+    ASSERT_EQ(this->starts_at("fast").size(), 1U);
+    this->report_long_queue("fast");
+    this->add_agent("slow", 32'000, 0.2);
+    this->submit(make_job("late", 1));
+    EXPECT_EQ(this->starts_at("fast").size(), 1U);
+}
+
 // Pattern: lasting overload. A queue makes every job late; jobs beyond what the targets can do are
 // refused at once, and those taken end in time.
 TEST_F(job_dispatcher_test, lasting_overload_refuses_jobs_instead_of_making_all_late)
