Let overload refuse only jobs that need a queue

A job that only takes free room delays no other and is admitted if it ends in time to be of use. The test holds an idle slow target beside a long queue and fails before.

Kept, since callers get an answer instead of a refusal.

--- a/filbertroad/dispatch/job_dispatcher_placement.cpp
+++ b/filbertroad/dispatch/job_dispatcher_placement.cpp
@@ -111,6 +111,8 @@
 {
     auto const now = this->clock.steady_now();
     milliseconds expected_end{};
+    // A job that only takes free room delays no other, so that it is admitted in overload too.
+    bool needs_queue = false;
     std::vector<std::pair<task*, choice>> plan;
     for (auto& item : owner.tasks)
     {
@@ -126,11 +128,13 @@
         this->reserve(owner, item, *chosen);
         plan.emplace_back(&item, *chosen);
         expected_end = std::max(expected_end, chosen->wait + chosen->run + this->limits.hop_time);
+        needs_queue = needs_queue || chosen->wait > milliseconds(0);
     }
     auto const lateness = static_cast<double>(expected_end.count()) /
                           static_cast<double>(std::max<std::int64_t>(owner.objective.count(), 1));
-    bool const is_admitted = this->overload.admits(owner.request.priority, lateness, now) &&
-                             now + expected_end <= owner.useful_until;
+    bool const is_within_load = this->overload.admits(owner.request.priority, lateness, now);
+    bool const is_admitted =
+        (is_within_load || !needs_queue) && now + expected_end <= owner.useful_until;
     if (!is_admitted)
     {
         for (auto planned = plan.rbegin(); planned != plan.rend(); ++planned)
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -236,6 +236,24 @@
     EXPECT_EQ(this->starts_at("slow").size(), 1U);
 }
 
+// Pattern: lasting overload beside an idle slow target. A job was refused although it could have
+// had a late answer without delaying another.
+TEST_F(job_dispatcher_test, lasting_overload_admits_what_an_idle_slow_target_can_take)
+{
+    this->add_agent("fast", 32'000, 1);
+    this->submit(make_job("first", 1));
+    this->report_long_queue("fast");
+    this->clock.advance(milliseconds(300));
+    this->report_long_queue("fast");
+    this->clock.advance(milliseconds(300));
+    this->report_long_queue("fast");
+    this->submit(make_job("refused", 1));
+    ASSERT_EQ(this->outcome("refused"), job_outcome::not_run);
+    this->add_agent("slow", 32'000, 0.4);
+    this->submit(make_job("late", 1));
+    EXPECT_EQ(this->starts_at("slow").size(), 1U);
+}
+
 // The other side: a target so slow that the caller would get no answer of use takes nothing.
 TEST_F(job_dispatcher_test, idle_target_that_is_too_slow_for_any_use_takes_nothing)
 {
