Count lasting overload from the first late job of a class

Overload counted as lasting when the last job in time was longer than 400 ms ago; where a class has one job a second at an entry, that is always so, and each late job was refused without the burst allowance.

Change: the interval begins at the first late job with none in time since.

--- a/filbertroad/dispatch/internal/overload_detector.hpp
+++ b/filbertroad/dispatch/internal/overload_detector.hpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 namespace filbertroad::dispatch::internal
 {
@@ -23,14 +24,14 @@
     /// `lateness` is the expected time to the end of a job over its latency objective.
     bool admits(std::uint32_t priority, double lateness, base::steady_time now)
     {
-        auto& last_prompt =
-            this->last_prompt_job[std::min<std::size_t>(priority, priority_classes - 1)];
+        auto& late_since = this->late_since[std::min<std::size_t>(priority, priority_classes - 1)];
         if (lateness <= prompt_lateness)
         {
-            last_prompt = now;
+            late_since.reset();
             return true;
         }
-        bool const is_lasting = now - last_prompt > interval;
+        late_since = late_since.value_or(now);
+        bool const is_lasting = now - *late_since >= interval;
         return !is_lasting && lateness <= burst_lateness;
     }
 
@@ -42,7 +43,10 @@
     /// Two typical run times: shorter ones end by themselves as running tasks end.
     static constexpr milliseconds interval{400};
 
-    std::array<base::steady_time, priority_classes> last_prompt_job{};
+    /// First job of the class that was late, with none in time since. The last one in time would
+    /// not do: where jobs of a class are rarer than the interval, each late one would count as
+    /// lasting overload.
+    std::array<std::optional<base::steady_time>, priority_classes> late_since{};
 };
 
 } // namespace filbertroad::dispatch::internal
