Let runs on free room use all of the caller's time

Change: whether a task is too late is judged by the caller's time where it finds free room, and by three times the objective only where it would queue and delay others.

--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -215,6 +215,8 @@
                                                std::string const& avoided) const;
     [[nodiscard]] choice_rank rank(job const& owner, choice const& candidate,
                                    base::steady_time now) const;
+    [[nodiscard]] bool is_too_late(job const& owner, choice const& chosen,
+                                   base::steady_time now) const;
     [[nodiscard]] bool is_crowded_out(base::steady_time now) const;
     void release_steps(job& owner);
     void place_waiting(job& owner);
--- a/filbertroad/dispatch/job_dispatcher_placement.cpp
+++ b/filbertroad/dispatch/job_dispatcher_placement.cpp
@@ -88,6 +88,13 @@
     }
 }
 
+bool job_dispatcher::is_too_late(job const& owner, choice const& chosen,
+                                 base::steady_time now) const
+{
+    auto const end = now + chosen.wait + chosen.run + this->limits.hop_time;
+    return end > owner.latest_end(chosen.wait > milliseconds(0));
+}
+
 bool job_dispatcher::refuse_if_too_late(job& owner)
 {
     auto const now = this->clock.steady_now();
@@ -98,7 +105,7 @@
             continue;
         }
         auto const chosen = this->choose(owner, item, item.avoided);
-        if (chosen && now + chosen->wait + chosen->run + this->limits.hop_time > owner.useful_until)
+        if (chosen && this->is_too_late(owner, *chosen, now))
         {
             this->give_up(owner, "cannot end in time");
             return true;
@@ -134,7 +141,7 @@
                           static_cast<double>(std::max<std::int64_t>(owner.objective.count(), 1));
     bool const is_within_load = this->overload.admits(owner.request.priority, lateness, now);
     bool const is_admitted =
-        (is_within_load || !needs_queue) && now + expected_end <= owner.useful_until;
+        (is_within_load || !needs_queue) && now + expected_end <= owner.latest_end(needs_queue);
     if (!is_admitted)
     {
         for (auto planned = plan.rbegin(); planned != plan.rend(); ++planned)
@@ -163,8 +170,7 @@
         {
             return;
         }
-        auto const end = this->clock.steady_now() + chosen->wait + chosen->run;
-        if (end + this->limits.hop_time > owner.useful_until)
+        if (this->is_too_late(owner, *chosen, this->clock.steady_now()))
         {
             this->give_up(owner, "cannot end in time");
             return;
@@ -193,7 +199,8 @@
     item.is_cancel_sent = false;
     ++item.run;
     ++owner.runs;
-    auto const time_left = internal::elapsed(now, owner.useful_until) - chosen.run;
+    auto const time_left =
+        internal::elapsed(now, owner.latest_end(chosen.wait > milliseconds(0))) - chosen.run;
     auto const queue_limit = chosen.wait * this->limits.queue_factor + this->limits.queue_slack;
     item.order = {.id = {item.name, item.run},
                   .payload = owner.request.payload,
