Raise a task's estimate when its run is cancelled as stalled

Some jobs take several times their estimate; each further run was judged by the estimate that the run before had disproved.

Change: the run time of a cancelled run becomes the task's estimate, at most doubled each time, since a target that stands still shows a long run too. The test runs a task of five times its estimate and fails before.

--- a/filbertroad/dispatch/internal/dispatch_job.hpp
+++ b/filbertroad/dispatch/internal/dispatch_job.hpp
@@ -28,6 +28,8 @@
 {
     std::string name;
     std::size_t step = 0;
+    /// Run time at speed 1; raised when runs prove it too low.
+    milliseconds estimate{};
     task_state state = task_state::blocked;
     std::uint32_t run = 0;
     std::uint32_t failures = 0;
--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -90,6 +90,7 @@
             item.name =
                 added.request.key + ".0." + std::to_string(step) + "." + std::to_string(index);
             item.step = step;
+            item.estimate = steps[step].estimate;
             added.tasks.push_back(std::move(item));
         }
     }
@@ -236,6 +237,7 @@
     case run_end::not_started:
         if (item.is_cancel_sent)
         {
+            raise_estimate(item, internal::scaled(report.elapsed, view.status().speed));
             item.avoided = agent;
             view.note_failure(this->clock.steady_now());
         }
@@ -244,6 +246,12 @@
     this->place_waiting(owner);
 }
 
+void job_dispatcher::raise_estimate(task& item, milliseconds work)
+{
+    // At most doubled: a target that stood still shows a long run too.
+    item.estimate = std::max(item.estimate, std::min(work, 2 * item.estimate));
+}
+
 void job_dispatcher::runs_of_agent_over(std::string_view agent, std::string_view reason)
 {
     std::vector<run_report> reports;
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -235,6 +235,9 @@
     void check_job(job& owner);
     void check_task(job& owner, task& item);
     void take_end(job& owner, task& item, std::string_view agent, run_report const& report);
+    /// A run of the task was cancelled after `work`, the run time at speed 1, without an end. With
+    /// the estimate as it was, the next run would be cancelled at the same point, and so on.
+    static void raise_estimate(task& item, milliseconds work);
     void runs_of_agent_over(std::string_view agent, std::string_view reason);
 
     base::clock const& clock;
--- a/filbertroad/dispatch/job_dispatcher_placement.cpp
+++ b/filbertroad/dispatch/job_dispatcher_placement.cpp
@@ -57,7 +57,7 @@
             continue;
         }
         choice candidate{&name, view.expected_wait(step.room, owner.request.priority),
-                         view.expected_run(step.estimate)};
+                         view.expected_run(item.estimate)};
         candidate.rank = this->rank(owner, candidate, now);
         bool const is_last_resort =
             avoided == name || (view.is_suspended(now) && !ignore_suspension);
@@ -205,7 +205,7 @@
     item.order = {.id = {item.name, item.run},
                   .payload = owner.request.payload,
                   .room = step.room,
-                  .estimate = step.estimate,
+                  .estimate = item.estimate,
                   .priority = owner.request.priority,
                   .useful_for = std::clamp(time_left, milliseconds(0), queue_limit)};
     this->actions.emplace_back(send_start{item.agent, item.order, chosen.wait, chosen.run});
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -267,6 +267,41 @@
     EXPECT_EQ(this->starts_at("fast").size(), 1U);
 }
 
+// Pattern: some jobs take five times as long as estimated. Each run was cancelled as stalled at the
+// same point and begun again elsewhere, 11 times until the caller's time was over.
+TEST_F(job_dispatcher_test, task_that_takes_much_longer_than_estimated_ends_in_a_later_run)
+{
+    this->add_agent("a", 9'000);
+    this->add_agent("b", 9'000);
+    auto job = make_job("j", 1);
+    job.time_budget = milliseconds(8'000);
+    this->submit(job);
+    constexpr milliseconds real_time{1'000};
+    std::size_t runs = 0;
+    for (; runs < 4 && !this->outcome("j"); ++runs)
+    {
+        auto agent = std::string("a");
+        auto sent = this->starts_at(agent);
+        if (sent.empty())
+        {
+            agent = "b";
+            sent = this->starts_at(agent);
+        }
+        ASSERT_EQ(sent.size(), 1U);
+        this->cancels.clear();
+        milliseconds passed{};
+        for (; passed < real_time && this->cancels.empty(); passed += milliseconds(25))
+        {
+            this->pass(milliseconds(25));
+        }
+        auto const how = this->cancels.empty() ? run_end::succeeded : run_end::lost;
+        this->dispatcher.run_ended(agent, {sent[0].id, how, "", passed, {}});
+        this->pass(milliseconds(25));
+    }
+    EXPECT_EQ(this->outcome("j"), job_outcome::completed);
+    EXPECT_LE(runs, 2U);
+}
+
 // Pattern: calm day, a job whose estimate is a fourth of its real run time and whose task fails. It
 // was given up after three times an objective made of that estimate, with most of the caller's time
 // and half of the targets unused.
