Look for an unanswered start instead of stopping it

Stops without proof for 300 ms also withheld the lease of every run on the target.

Change: since any later order fences an unanswered start, a list that was asked for with the higher token settles it: the run is listed and goes on, or the target refuses it from now on. No stop is sent. The look is repeated every 60 ms until an answer comes.

The test that asked for a stop asks for a list with a higher token instead, and that an earlier list proves nothing; the look after an answered stop has a test of its own.

--- a/filbertroad/dispatch/internal/run_table.hpp
+++ b/filbertroad/dispatch/internal/run_table.hpp
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,7 +23,7 @@
 enum class run_state
 {
     queued,
-    /// The start is sent and not answered.
+    /// The start is sent; its answer or a list that proves it is awaited.
     starting,
     running,
     /// A stop is sent; holds its room until the end is proved.
@@ -43,6 +44,8 @@
     std::uint64_t fencing_token = 0;
     /// Whether the target has answered or listed the start.
     bool is_known_started = false;
+    /// When a list was last asked for, after the start got no answer.
+    std::optional<base::steady_time> looked_for;
     /// When the target answered the start; lists asked for later must name the run.
     base::steady_time start_answered{};
     base::steady_time stop_first_sent{};
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -43,7 +43,8 @@
     /// Lease of the target's runs. Short, because a run on a frozen agent's target is only over
     /// once its lease is; long enough for two renewals to be lost.
     milliseconds lease{600};
-    /// Time after which an unanswered start or stop is followed by a (further) stop.
+    /// Time after which an unanswered start is followed by a (further) look at the target's runs,
+    /// and an unanswered stop by a further stop.
     milliseconds order_timeout{60};
     /// Time that a target may take to end a run that it was told to stop.
     milliseconds stop_time{50};
@@ -244,7 +245,7 @@
     void expire_entries();
     void expire_queued();
     void expire_leases();
-    void repeat_stops();
+    void repeat_orders();
     void send_stop(entry_run& run);
     void target_restarted(renewal const& sent);
     void take_finished(listed_finish const& finish);
@@ -252,6 +253,9 @@
     void stop_unknown(run_list const& list);
     [[nodiscard]] bool ended_lately(run_id const& id) const;
     void requeue(entry_run& run);
+    /// Asks for a list that tells whether a start without answer was carried out. Cheaper than a
+    /// stop, which takes an answer and a list, and ends a run of which only the answer was lost.
+    void look_for(entry_run& run);
     /// Makes every later order's token higher than `used`, by `step`; no effect if it is already.
     void raise_fencing_token(std::uint64_t used, std::uint64_t step);
     void note_change() { this->status_changed = true; }
--- a/filbertroad/dispatch/run_agent_expiry.cpp
+++ b/filbertroad/dispatch/run_agent_expiry.cpp
@@ -15,7 +15,7 @@
     this->expire_entries();
     this->expire_leases();
     this->expire_queued();
-    this->repeat_stops();
+    this->repeat_orders();
     this->start_queued();
 }
 
@@ -77,7 +77,7 @@
     }
 }
 
-void run_agent::repeat_stops()
+void run_agent::repeat_orders()
 {
     auto const now = this->clock.steady_now();
     auto const answered_patience =
@@ -85,6 +85,12 @@
     this->runs.for_each(
         [&](agent_run& run)
         {
+            bool const is_look_due = run.state == run_state::starting && run.looked_for &&
+                                     now - *run.looked_for > this->limits.order_timeout;
+            if (is_look_due)
+            {
+                this->look_for(run);
+            }
             if (run.state != run_state::stopping)
             {
                 return;
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -44,7 +44,7 @@
         this->raise_fencing_token(run->fencing_token, 1);
         if (run->state == run_state::starting && !run->is_known_started)
         {
-            this->stop(*run, "start not answered");
+            this->look_for(*run);
         }
         return;
     }
@@ -78,8 +78,15 @@
     }
 }
 
+void run_agent::look_for(agent_run& run)
+{
+    run.looked_for = this->clock.steady_now();
+    this->actions.emplace_back(look_at_runs{});
+}
+
 void run_agent::requeue(agent_run& run)
 {
+    run.looked_for.reset();
     this->runs.change(run, run_state::queued);
     run.is_known_started = false;
     this->note_change();
@@ -285,7 +292,11 @@
                 run.state == run_state::running && sent.made > run.start_answered;
             bool const stop_is_old = run.state == run_state::stopping && run.is_stop_answered &&
                                      sent.made >= run.stop_answered;
-            if (start_is_old || stop_is_old)
+            // The target has seen a higher token than the start's and does not run it, so that it
+            // refuses the start from now on.
+            bool const start_is_fenced =
+                !run.is_known_started && sent.fencing_token > run.fencing_token;
+            if (start_is_old || stop_is_old || start_is_fenced)
             {
                 over.push_back(run.order.id.task);
             }
@@ -295,8 +306,9 @@
         auto const& run = *this->runs.find(task);
         // A start without answer may still reach a later process under the target's id, so that
         // the run is not known as not started.
-        this->end_run(task, run_end::lost,
-                      run.stop_reason.empty() ? "missing from the target's list" : run.stop_reason);
+        std::string const missing =
+            run.is_known_started ? "missing from the target's list" : "start not answered";
+        this->end_run(task, run_end::lost, run.stop_reason.empty() ? missing : run.stop_reason);
     }
 }
 
