Do not take a start that was not sent for an unhealthy target

While half of the orders get no answer, each holds one of the agent's four connections for 60 ms; starts that waited for one until their time was over counted as refused by an unhealthy target, which pauses starts for 200 ms and returns the whole queue.

Change: such a start, and one that found its kept connection closed, goes back to its place in the queue. Only a connection that cannot be made still counts as unhealthy.

--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -133,6 +133,8 @@
     unhealthy,
     /// Refused for another reason; nothing was done.
     rejected,
+    /// It never left for the target, and says nothing about it.
+    not_sent,
     /// No answer: it may have been carried out, or may still be.
     none,
 };
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -65,6 +65,7 @@
         break;
     case start_answer::late:
     case start_answer::no_room:
+    case start_answer::not_sent:
         this->requeue(*run);
         break;
     case start_answer::unhealthy:
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -318,6 +318,23 @@
     EXPECT_LT(this->agent.make_status("e").class_load[1], 0.01);
 }
 
+// Pattern: half of the orders get no answer and hold the connections. Starts that waited for one
+// until their time was over were taken for refusals of an unhealthy target, 701 times in 6 s, and
+// the whole queue went back to the entries each time.
+TEST_F(run_agent_test, start_that_was_not_sent_goes_back_to_its_place_in_the_queue)
+{
+    this->connect("e");
+    this->answers_starts = false;
+    this->order("e", "first", 9'000);
+    this->order("e", "second", 9'000);
+    this->answers_starts = true;
+    this->agent.start_answered({"first", 1}, start_answer::not_sent);
+    this->renew();
+    EXPECT_EQ(this->running(), tasks{"first"});
+    EXPECT_EQ(this->report("first"), nullptr);
+    EXPECT_EQ(this->report("second"), nullptr);
+}
+
 // The target may run what an earlier agent started; its room is not known.
 TEST_F(run_agent_test, nothing_starts_beside_runs_of_an_earlier_agent)
 {
