Return starts that find no room, and draw among equally fast free targets

Change: a start that expects free resources is returned at once by an agent that has none, with its load, and placed again (three times at most).

--- a/filbertroad/dispatch/internal/agent_view.cpp
+++ b/filbertroad/dispatch/internal/agent_view.cpp
@@ -129,6 +129,17 @@
     return milliseconds(static_cast<std::int64_t>(std::max(wait, min_wait_ms)));
 }
 
+double agent_view::spare_starts(model::resources const& resources) const
+{
+    auto free = this->last_status.free.cpu;
+    for (auto const& start : this->in_flight)
+    {
+        free -= start.resources.cpu;
+    }
+    return std::max(1.0, static_cast<double>(free) /
+                             static_cast<double>(std::max<std::int64_t>(resources.cpu, 1)));
+}
+
 milliseconds agent_view::expected_run(milliseconds estimate) const
 {
     return milliseconds(
--- a/filbertroad/dispatch/internal/agent_view.hpp
+++ b/filbertroad/dispatch/internal/agent_view.hpp
@@ -49,6 +49,8 @@
     /// Expected time from now until `resources` are free for a run of `priority`.
     [[nodiscard]] milliseconds expected_wait(model::resources const& resources,
                                              std::uint32_t priority) const;
+    /// Number of starts with `resources` for which the processor time is free now, at least 1.
+    [[nodiscard]] double spare_starts(model::resources const& resources) const;
     /// Expected run time on this target of a task with the given estimate at speed 1.
     [[nodiscard]] milliseconds expected_run(milliseconds estimate) const;
 
--- a/filbertroad/dispatch/internal/dispatch_job.hpp
+++ b/filbertroad/dispatch/internal/dispatch_job.hpp
@@ -39,6 +39,8 @@
     /// Expected wait, run time and network round trip when the start was sent.
     milliseconds expected{};
     bool is_cancel_sent = false;
+    /// Starts that agents returned because they had no free resources.
+    std::uint32_t returns = 0;
     /// Agent on which the last run stalled or failed; used again only if no other is available.
     std::string avoided;
 };
--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -242,6 +242,7 @@
             item.avoided = agent;
             view.record_failure(this->clock.steady_now());
         }
+        item.returns += report.end == run_end::not_started ? 1 : 0;
         break;
     }
     this->place_waiting_tasks(parent_job);
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -69,6 +69,10 @@
     /// position in the queue.
     std::int64_t queue_factor = 4;
     milliseconds queue_slack{400};
+    /// A start that expects free resources is returned by an agent that has none, and the task is
+    /// placed again with the load that the agent reports with it. After so many returns the task
+    /// waits in the agent's queue instead.
+    std::uint32_t max_returns = 3;
     /// Time after which a caller may retry a refused job.
     std::chrono::seconds retry_after{1};
 };
@@ -220,6 +224,8 @@
         milliseconds wait{};
         milliseconds run{};
         placement_rank rank = placement_rank::late;
+        /// Number of such starts for which the agent has free resources, at least 1.
+        double spare_starts = 1;
 
         [[nodiscard]] bool is_better_than(placement const& other) const;
     };
@@ -228,6 +234,11 @@
     /// Returns `avoided` only if no other agent is available.
     [[nodiscard]] std::optional<placement> choose_placement(job const& parent_job, task const& item,
                                                             std::string const& avoided) const;
+    /// The best of `candidates`, of which there is at least one. Among targets that are free and
+    /// about equally fast it draws one, in proportion to their free resources: entries that chose
+    /// the same target from the same reports would fill it beyond its capacity.
+    [[nodiscard]] placement choose_among(std::span<placement const> candidates,
+                                         std::string_view task) const;
     [[nodiscard]] placement_rank rank(job const& parent_job, placement const& candidate,
                                       base::steady_time now) const;
     [[nodiscard]] bool is_too_late(job const& parent_job, placement const& chosen,
--- a/filbertroad/dispatch/job_dispatcher_placement.cpp
+++ b/filbertroad/dispatch/job_dispatcher_placement.cpp
@@ -3,11 +3,32 @@
 #include "filbertroad/dispatch/internal/dispatch_job.hpp"
 #include "filbertroad/dispatch/internal/elapsed.hpp"
 
+#include "filbertroad/base/hash.hpp"
+
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 namespace filbertroad::dispatch
 {
+namespace
+{
+
+/// Queue timeout of a start that may wait. Less would mean that it must start immediately.
+constexpr milliseconds min_queue_timeout{1};
+
+/// Targets whose run times differ by less than this factor count as equally fast.
+constexpr double equal_speed_factor = 1.15;
+
+/// Pseudo-random number in (0, 1] that differs by task and agent.
+double draw(std::string_view task, std::string_view agent)
+{
+    constexpr auto range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return (static_cast<double>(base::hash64(agent, base::hash64(task))) + 1) / (range + 1);
+}
+
+} // namespace
 
 bool job_dispatcher::are_most_agents_ejected(base::steady_time now) const
 {
@@ -50,7 +71,7 @@
     // Ejections are ignored when more than half of the available targets are ejected: a fault of so
     // many is not caused by the targets.
     bool const ignore_ejections = this->are_most_agents_ejected(now);
-    std::optional<placement> best;
+    std::vector<placement> candidates;
     std::optional<placement> last_resort;
     for (auto const& [name, view] : this->agents)
     {
@@ -63,13 +84,49 @@
                             view.expected_run(item.estimate)};
         candidate.rank = this->rank(parent_job, candidate, now);
         bool const is_last_resort = avoided == name || (view.is_ejected(now) && !ignore_ejections);
-        auto& slot = is_last_resort ? last_resort : best;
-        if (!slot || candidate.is_better_than(*slot))
+        candidate.spare_starts = view.spare_starts(step.resources);
+        if (!is_last_resort)
+        {
+            candidates.push_back(candidate);
+        }
+        else if (!last_resort || candidate.is_better_than(*last_resort))
+        {
+            last_resort = candidate;
+        }
+    }
+    return candidates.empty() ? last_resort : choose_among(candidates, item.name);
+}
+
+job_dispatcher::placement job_dispatcher::choose_among(std::span<placement const> candidates,
+                                                       std::string_view task) const
+{
+    auto const& best = *std::min_element(candidates.begin(), candidates.end(),
+                                         [](placement const& left, placement const& right)
+                                         { return left.is_better_than(right); });
+    if (best.wait > milliseconds(0))
+    {
+        return best;
+    }
+    // Weighted random selection: the candidate with the least -log(draw) / weight is chosen with a
+    // probability in proportion to its weight.
+    auto const longest_run =
+        internal::scaled(best.run, equal_speed_factor) + this->limits.round_trip_time;
+    auto const* chosen = &best;
+    auto lowest = std::numeric_limits<double>::infinity();
+    for (auto const& candidate : candidates)
+    {
+        if (candidate.rank != best.rank || candidate.run > longest_run)
+        {
+            continue;
+        }
+        auto const key = -std::log(draw(task, *candidate.agent)) / candidate.spare_starts;
+        if (key < lowest)
         {
-            slot = candidate;
+            lowest = key;
+            chosen = &candidate;
         }
     }
-    return best ? best : last_resort;
+    return *chosen;
 }
 
 void job_dispatcher::unblock_tasks(job& parent_job)
@@ -207,12 +264,16 @@
     auto const time_left =
         internal::elapsed(now, parent_job.latest_end(chosen.wait > milliseconds(0))) - chosen.run;
     auto const queue_limit = chosen.wait * this->limits.queue_factor + this->limits.queue_slack;
+    bool const must_start_now =
+        chosen.wait == milliseconds(0) && item.returns < this->limits.max_returns;
     item.order = {.id = {item.name, item.run},
                   .payload = parent_job.request.payload,
                   .resources = step.resources,
                   .estimate = item.estimate,
                   .priority = parent_job.request.priority,
-                  .queue_timeout = std::clamp(time_left, milliseconds(0), queue_limit)};
+                  .queue_timeout = must_start_now
+                                       ? milliseconds(0)
+                                       : std::clamp(time_left, min_queue_timeout, queue_limit)};
     this->actions.emplace_back(send_start{item.agent, item.order, chosen.wait, chosen.run});
 }
 
--- /dev/null
+++ b/filbertroad/dispatch/load_simulation.hpp
@@ -0,0 +1,92 @@
+#ifndef FILBERTROAD_DISPATCH_LOAD_SIMULATION_HPP
+#define FILBERTROAD_DISPATCH_LOAD_SIMULATION_HPP
+
+/// Simulation of a fleet under load, without faults: real dispatchers and agents, simulated targets
+/// and links with a delay, and simulated time. It measures how well tasks are placed, and how many
+/// messages that takes. The same scenario and seed give the same result.
+///
+///     load_scenario scenario;
+///     scenario.entries = 35;
+///     scenario.agents = 160;
+///     auto result = simulate_load(scenario);
+///     EXPECT_LT(result.late_share(), 0.05);
+
+#include "filbertroad/dispatch/messages.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace filbertroad::dispatch
+{
+
+/// Jobs of one kind. Run times are uniform within `spread` of `work`; estimates are off by up to
+/// `estimate_error`.
+struct job_kind
+{
+    std::uint32_t priority = 0;
+    std::uint32_t tasks = 1;
+    milliseconds work{};
+    std::int64_t cpu = 0;
+    /// Share of all jobs.
+    double share = 0;
+};
+
+struct load_scenario
+{
+    std::size_t entries = 1;
+    std::size_t agents = 1;
+    /// Entries to which each agent is linked; all if greater than `entries`.
+    std::size_t entries_per_agent = SIZE_MAX;
+    /// Speed of target N is `speeds[N % speeds.size()]`.
+    std::vector<double> speeds{0.6, 1.0, 1.6};
+    std::int64_t target_cpu = 32'000;
+    std::vector<job_kind> kinds;
+    /// Demanded work over the work that all targets can do.
+    double utilization = 0.4;
+    /// Delay of a message between an entry and an agent.
+    std::chrono::microseconds link_delay{1'000};
+    /// Time between a change of load and the status that reports it; 0 uses status_pacing.
+    std::chrono::microseconds status_delay{0};
+    double spread = 0.4;
+    double estimate_error = 0.4;
+    milliseconds duration{4'000};
+    std::uint64_t seed = 1;
+};
+
+/// The kinds of jobs of a deployment with tasks of five cores: wide short jobs of the highest
+/// priority, narrow jobs of medium length, and few long ones.
+[[nodiscard]] std::vector<job_kind> wide_short_and_long_jobs();
+
+struct kind_result
+{
+    std::size_t jobs = 0;
+    /// Jobs answered within their objective, from the exact run times.
+    std::size_t in_time = 0;
+    std::size_t refused = 0;
+    /// Sum of the response times of answered jobs over the time that a target of speed 1 needs.
+    double response_ratio_sum = 0;
+};
+
+struct load_result
+{
+    std::vector<kind_result> kinds;
+    std::size_t tasks = 0;
+    /// Starts that an agent returned because it had no free resources.
+    std::size_t returned_starts = 0;
+    /// Starts that waited in an agent's queue.
+    std::size_t queued_starts = 0;
+    std::size_t status_messages = 0;
+
+    [[nodiscard]] std::size_t jobs() const;
+    [[nodiscard]] double late_share() const;
+    [[nodiscard]] double late_share(std::size_t kind) const;
+    [[nodiscard]] double mean_response_ratio() const;
+    [[nodiscard]] double queued_share() const;
+    [[nodiscard]] double returned_share() const;
+};
+
+[[nodiscard]] load_result simulate_load(load_scenario const& scenario);
+
+} // namespace filbertroad::dispatch
+
+#endif
--- a/filbertroad/dispatch/messages.hpp
+++ b/filbertroad/dispatch/messages.hpp
@@ -59,7 +59,8 @@
     milliseconds estimate{};
     /// 0 is the highest priority.
     std::uint32_t priority = 0;
-    /// Longest time in the agent's queue; a run not started by then is reported as not started.
+    /// Longest time in the agent's queue; a run not started by then is reported as not started. A
+    /// run with 0 is returned at once if it cannot be started immediately.
     milliseconds queue_timeout{};
 };
 
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -134,8 +134,15 @@
         return;
     }
     ++found->second.starts_seen;
+    auto const task = order.id.task;
+    bool const must_start_now = order.queue_timeout == milliseconds(0);
     this->enqueue(entry, std::move(order));
     this->start_queued();
+    auto const* const run = must_start_now ? this->runs.find(task) : nullptr;
+    if (run != nullptr && run->state == run_state::queued)
+    {
+        this->end_run(task, run_end::not_started, "no room");
+    }
 }
 
 void run_agent::runs_resumed(std::string_view entry, std::vector<start_order> orders)
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -35,6 +35,30 @@
     EXPECT_EQ(this->running(), (tasks{"b", "c", "d"}));
 }
 
+// Guards against a start that waits behind runs of which its entry did not know.
+TEST_F(run_agent_test, start_without_queue_timeout_is_returned_at_once_if_the_target_is_full)
+{
+    this->connect("e");
+    this->order("e", "running", 9'000);
+    auto order = make_order("returned", 3'000);
+    order.queue_timeout = milliseconds(0);
+    this->agent.start_ordered("e", order);
+    this->collect();
+    ASSERT_NE(this->report("returned"), nullptr);
+    EXPECT_EQ(this->report("returned")->end, run_end::not_started);
+    EXPECT_EQ(this->running(), std::set<std::string>{"running"});
+}
+
+TEST_F(run_agent_test, start_without_queue_timeout_starts_on_free_resources)
+{
+    this->connect("e");
+    auto order = make_order("task", 3'000);
+    order.queue_timeout = milliseconds(0);
+    this->agent.start_ordered("e", order);
+    this->collect();
+    EXPECT_EQ(this->running(), std::set<std::string>{"task"});
+}
+
 TEST_F(run_agent_test, stopping_run_keeps_its_resources_until_its_end_is_listed)
 {
     this->connect("e");
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -244,10 +244,7 @@
     {
         auto& state = this->agents[agent];
         state.last_received = this->clock.steady_now();
-        for (auto const& report : content.reports)
-        {
-            this->dispatcher.run_ended(agent, report);
-        }
+        // The status comes first: a task that the agent returned is placed by the load it reports.
         if (content.status)
         {
             state.newest_status_stamp_ms = content.status->stamp_ms;
@@ -255,6 +252,10 @@
             this->send_heartbeat_if_due(state);
             this->send_snapshot_if_stale(state, content.status->snapshot_offset);
         }
+        for (auto const& report : content.reports)
+        {
+            this->dispatcher.run_ended(agent, report);
+        }
         if (content.snapshot)
         {
             this->apply_snapshot(std::move(*content.snapshot), agent);
