Bound the links of an agent, and send less on each

Cause: every agent was linked to every entry (5,600 links at 35 entries and 160 agents) and told each of them its load after each change: 280,000 messages a second, which filled the links of the small entries (20 Mbit/s) and the processors of the agents. Every task of a job carried the job's payload (1.2 KB), also if several went to the same agent.

Change: an agent is linked to 8 entries (limits.max_entry_links), ranked by a hash of both names; entries that do not answer are replaced, and the links return to them when they are back (entry_selection, node/internal/entry_connections). The messages about changes of load are bounded for each agent (status_pacing); most leave out service, zone, capacity and class load. A payload is sent once a frame. Acknowledgements and heartbeats wait for the next tick of 25 ms. Agents pass the addresses of new entries on, since only some agents are linked to the entry that announced them. Tasks of a job draw alike among free targets, so that fewer messages carry them; targets whose speeds differ by less than 1.4 are drawn by the square of their free resources. Processes of the version before are told everything as before (protocol_version).

--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -235,10 +235,11 @@
     [[nodiscard]] std::optional<placement> choose_placement(job const& parent_job, task const& item,
                                                             std::string const& avoided) const;
     /// The best of `candidates`, of which there is at least one. Among targets that are free and
-    /// about equally fast it draws one, in proportion to their free resources: entries that chose
-    /// the same target from the same reports would fill it beyond its capacity.
+    /// about equally fast it draws one, with more weight for more free resources: entries that
+    /// chose the same target from the same reports would fill it beyond its capacity. Tasks of a
+    /// job draw alike, so that few messages carry them.
     [[nodiscard]] placement choose_among(std::span<placement const> candidates,
-                                         std::string_view task) const;
+                                         std::string_view job_key) const;
     [[nodiscard]] placement_rank rank(job const& parent_job, placement const& candidate,
                                       base::steady_time now) const;
     [[nodiscard]] bool is_too_late(job const& parent_job, placement const& chosen,
--- a/filbertroad/dispatch/job_dispatcher_placement.cpp
+++ b/filbertroad/dispatch/job_dispatcher_placement.cpp
@@ -19,13 +19,13 @@
 constexpr milliseconds min_queue_timeout{1};
 
 /// Targets whose run times differ by less than this factor count as equally fast.
-constexpr double equal_speed_factor = 1.15;
+constexpr double equal_speed_factor = 1.4;
 
-/// Pseudo-random number in (0, 1] that differs by task and agent.
-double draw(std::string_view task, std::string_view agent)
+/// Pseudo-random number in (0, 1] that differs by job and agent.
+double draw(std::string_view job_key, std::string_view agent)
 {
     constexpr auto range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-    return (static_cast<double>(base::hash64(agent, base::hash64(task))) + 1) / (range + 1);
+    return (static_cast<double>(base::hash64(agent, base::hash64(job_key))) + 1) / (range + 1);
 }
 
 } // namespace
@@ -94,11 +94,11 @@
             last_resort = candidate;
         }
     }
-    return candidates.empty() ? last_resort : choose_among(candidates, item.name);
+    return candidates.empty() ? last_resort : choose_among(candidates, parent_job.request.key);
 }
 
 job_dispatcher::placement job_dispatcher::choose_among(std::span<placement const> candidates,
-                                                       std::string_view task) const
+                                                       std::string_view job_key) const
 {
     auto const& best = *std::min_element(candidates.begin(), candidates.end(),
                                          [](placement const& left, placement const& right)
@@ -119,7 +119,8 @@
         {
             continue;
         }
-        auto const key = -std::log(draw(task, *candidate.agent)) / candidate.spare_starts;
+        auto const weight = candidate.spare_starts * candidate.spare_starts;
+        auto const key = -std::log(draw(job_key, *candidate.agent)) / weight;
         if (key < lowest)
         {
             lowest = key;
--- a/filbertroad/dispatch/load_simulation.cpp
+++ b/filbertroad/dispatch/load_simulation.cpp
@@ -275,10 +275,16 @@
 
     void carry_out(entry& from)
     {
+        std::set<std::string> started_at;
         for (auto& action : from.core->take_actions())
         {
+            if (auto const* const start = std::get_if<send_start>(&action))
+            {
+                started_at.insert(start->agent);
+            }
             std::visit([&](auto& item) { this->execute(from, item); }, action);
         }
+        this->result.start_messages += started_at.size();
     }
 
     void send_to_agent(std::string const& name, std::function<void(run_agent&)> event)
--- a/filbertroad/dispatch/load_simulation.hpp
+++ b/filbertroad/dispatch/load_simulation.hpp
@@ -76,6 +76,8 @@
     /// Starts that waited in an agent's queue.
     std::size_t queued_starts = 0;
     std::size_t status_messages = 0;
+    /// Messages with starts; starts that a dispatcher sends together to an agent share one.
+    std::size_t start_messages = 0;
 
     [[nodiscard]] std::size_t jobs() const;
     [[nodiscard]] double late_share() const;
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -293,6 +293,14 @@
     return {};
 }
 
+bool run_agent::has_work_for(std::string_view entry) const
+{
+    auto const session = this->sessions.find(entry);
+    bool has_work = session != this->sessions.end() && !session->second.unacknowledged.empty();
+    this->runs.for_each([&](agent_run const& run) { has_work = has_work || run.entry == entry; });
+    return has_work;
+}
+
 bool run_agent::has_entry_lease(std::string_view entry) const
 {
     auto const found = this->sessions.find(entry);
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -232,6 +232,8 @@
     [[nodiscard]] bool is_recovered() const { return this->recovered; }
     /// Whether no run is queued or on the target.
     [[nodiscard]] bool is_idle() const { return this->runs.empty(); }
+    /// Whether a run or an unacknowledged report of `entry` remains.
+    [[nodiscard]] bool has_work_for(std::string_view entry) const;
     /// Whether the target has answered within `agent_limits::contact_timeout`.
     [[nodiscard]] bool is_reachable() const;
     /// Why no run can be started; empty if runs can be started.
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -465,6 +465,15 @@
 TEST_F(run_agent_test, speed_falls_while_several_runs_are_overdue)
 {
     this->connect("e");
+    for (int run = 0; run < 40; ++run)
+    {
+        auto const task = "earlier" + std::to_string(run);
+        this->order("e", task, 3'000);
+        this->clock.advance(milliseconds(200));
+        this->finish(task);
+        this->heartbeat("e");
+        this->renew();
+    }
     for (auto const* const task : {"a", "b", "c"})
     {
         this->order("e", task, 3'000);
--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -1,13 +1,13 @@
 #include "filbertroad/node/agent_node.hpp"
 
 #include "filbertroad/dispatch/control_snapshot.hpp"
-#include "filbertroad/net/link.hpp"
+#include "filbertroad/dispatch/status_pacing.hpp"
 #include "filbertroad/node/frame.hpp"
+#include "filbertroad/node/internal/entry_connections.hpp"
 #include "filbertroad/node/internal/renewal_loop.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <map>
 #include <utility>
 
 namespace filbertroad::node
@@ -15,6 +15,7 @@
 namespace asio = boost::asio;
 namespace events = telemetry::events;
 using dispatch::milliseconds;
+using internal::entry_link;
 
 namespace
 {
@@ -26,44 +27,18 @@
 /// that the loss of one does not end the lease.
 constexpr milliseconds max_status_interval{150};
 
-/// Changes of load within this time are sent in one status message.
-constexpr milliseconds status_coalescing_delay{5};
-
-/// A link on which nothing was received for this long is closed and opened again.
-constexpr milliseconds link_idle_timeout{400};
-
-/// Time for a link to open, and then for the entry's hello to arrive. An entry whose VM is without
-/// power does not answer at all. The limit is short so that a new attempt follows soon after the VM
-/// is back, since the entry needs all agents then.
-constexpr milliseconds connect_timeout{150};
-
-/// Delay between attempts to connect to an entry: doubles from the initial value to the maximum.
-constexpr milliseconds initial_reconnect_backoff{25};
-constexpr milliseconds max_reconnect_backoff{400};
-
-struct entry_link
-{
-    std::shared_ptr<net::link> link;
-    /// Name of the entry; empty until its hello has arrived on this link.
-    std::string name;
-    base::steady_time last_received{};
-    base::steady_time next_attempt{};
-    milliseconds backoff = initial_reconnect_backoff;
-    base::steady_time last_status_sent{};
-    std::uint64_t sent_snapshot_offset = 0;
-    std::vector<dispatch::run_report> reports;
-};
-
 class agent_node_impl final : public agent_node
 {
 public:
     agent_node_impl(asio::io_context& io, base::clock const& clock, target_client& target,
                     telemetry::event_log& log, telemetry::metrics_registry& metrics,
                     std::string name, std::string zone, std::vector<std::string> const& seeds,
-                    dispatch::agent_limits limits)
+                    dispatch::agent_limits limits, std::size_t max_entry_links)
         : io(io), clock(clock), log(log), zone(zone),
-          incarnation(base::to_unix_ms(clock.system_now())), identity{std::move(name), incarnation},
-          target(target), agent(clock, std::move(zone), limits, incarnation),
+          incarnation(base::to_unix_ms(clock.system_now())), target(target),
+          agent(clock, std::move(zone), limits, incarnation),
+          connections(io, clock, log, {std::move(name), incarnation}, max_entry_links,
+                      this->make_connection_handlers()),
           renewals(io, agent, target,
                    [this]
                    {
@@ -77,7 +52,7 @@
     {
         for (auto const& seed : seeds)
         {
-            this->entries[seed];
+            this->connections.add({"seed", seed});
         }
     }
 
@@ -90,6 +65,7 @@
     void target_announced(dispatch::target_announcement const& announcement) override
     {
         this->agent.target_announced(announcement);
+        ++this->details_version;
         this->schedule_flush();
     }
 
@@ -101,11 +77,13 @@
 
     void add_entry(dispatch::entry_address const& entry) override
     {
-        if (!this->entries.contains(entry.link))
+        if (!this->connections.add(entry))
         {
-            this->entries[entry.link];
-            this->log.write(events::entry_known, {{"entry", entry.name}, {"link", entry.link}});
+            return;
         }
+        // Only a few agents are linked to the entry that announced this one.
+        this->connections.for_each_linked([&](entry_link& linked)
+                                          { linked.new_entries.push_back(entry); });
     }
 
     void stop(std::function<void()> handler) override
@@ -117,14 +95,7 @@
 
     [[nodiscard]] bool has_connected_entry() const override
     {
-        for (auto const& [address, entry] : this->entries)
-        {
-            if (!entry.name.empty())
-            {
-                return true;
-            }
-        }
-        return false;
+        return this->connections.has_linked_entry();
     }
 
 private:
@@ -170,17 +141,18 @@
     void tick()
     {
         this->agent.tick();
+        // When a new agent process connects, the entry concludes that all runs of the earlier
+        // process have ended. The agent therefore connects only once they have.
+        this->connections.tick(this->agent.is_recovered());
         auto const now = this->clock.steady_now();
-        for (auto& [address, entry] : this->entries)
-        {
-            this->check_connection(address, entry, now);
-            bool const is_status_due =
-                !entry.name.empty() && now - entry.last_status_sent >= max_status_interval;
-            if (is_status_due)
+        this->connections.for_each_linked(
+            [&](entry_link& entry)
             {
-                this->send_status(entry);
-            }
-        }
+                if (now - entry.last_status_sent >= max_status_interval)
+                {
+                    this->send_status(entry);
+                }
+            });
         this->flush();
         if (this->on_stopped && this->agent.is_idle())
         {
@@ -188,107 +160,23 @@
         }
     }
 
-    void check_connection(std::string const& address, entry_link& entry, base::steady_time now)
-    {
-        auto const limit = entry.name.empty() ? connect_timeout : link_idle_timeout;
-        if (entry.link && now - entry.last_received > limit)
-        {
-            this->disconnect(entry, "silent");
-        }
-        // When a new agent process connects, the entry concludes that all runs of the earlier
-        // process have ended. The agent therefore connects only once they have.
-        if (!entry.link && now >= entry.next_attempt && this->agent.is_recovered())
-        {
-            this->connect(address, entry, now);
-        }
-    }
-
-    void connect(std::string const& address, entry_link& entry, base::steady_time now)
-    {
-        entry.last_received = now;
-        entry.link = net::link::connect(
-            this->io, address,
-            {.on_open = [this, address](std::shared_ptr<net::link> const& link)
-             { this->handle_link_open(address, link); },
-             .on_message = [this, address](std::shared_ptr<net::link> const& link,
-                                           wire::link_message& message)
-             { this->handle_message(address, link, message); },
-             .on_closed =
-                 [this, address](std::shared_ptr<net::link> const& link,
-                                 base::error<net::net_error> const& error)
-             {
-                 auto& connection = this->entries[address];
-                 if (connection.link == link)
-                 {
-                     this->disconnect(connection, error.detail);
-                 }
-             }});
-    }
-
-    void handle_link_open(std::string const& address, std::shared_ptr<net::link> const& link)
-    {
-        auto& entry = this->entries[address];
-        if (entry.link != link)
-        {
-            return;
-        }
-        entry.last_received = this->clock.steady_now();
-        frame hello;
-        hello.sender_agent = this->identity;
-        link->send(encode_frame(hello));
-    }
-
-    void disconnect(entry_link& entry, std::string_view reason)
+    internal::entry_connections::handlers make_connection_handlers()
     {
-        auto const link = std::exchange(entry.link, nullptr);
-        link->close();
-        if (!entry.name.empty())
-        {
-            this->log.write(events::entry_lost,
-                            {{"entry", entry.name}, {"reason", std::string(reason)}});
-            entry.name.clear();
-            entry.backoff = initial_reconnect_backoff;
-        }
-        entry.next_attempt = this->clock.steady_now() + entry.backoff;
-        entry.backoff = std::min(entry.backoff * 2, max_reconnect_backoff);
-        entry.reports.clear();
-    }
-
-    void handle_message(std::string const& address, std::shared_ptr<net::link> const& link,
-                        wire::link_message const& message)
-    {
-        auto& entry = this->entries[address];
-        auto content = decode_frame(message);
-        if (entry.link != link)
-        {
-            return;
-        }
-        if (!content)
-        {
-            this->log.write(events::bad_input,
-                            {{"reason", "link message without a dispatch frame"}});
-            return;
-        }
-        entry.last_received = this->clock.steady_now();
-        if (content->sender_entry)
-        {
-            this->handle_entry_hello(entry, *content->sender_entry);
-        }
-        if (!entry.name.empty())
-        {
-            this->process_frame(entry, *content);
-        }
-        this->schedule_flush();
-    }
-
-    void handle_entry_hello(entry_link& entry, dispatch::process_id const& from)
-    {
-        entry.name = from.name;
-        entry.sent_snapshot_offset = 0;
-        entry.backoff = initial_reconnect_backoff;
-        this->agent.entry_connected(from);
-        this->send_status(entry);
-        this->log.write(events::entry_linked, {{"entry", from.name}});
+        return {.on_linked =
+                    [this](entry_link& entry, dispatch::process_id const& from)
+                {
+                    this->agent.entry_connected(from);
+                    this->send_status(entry);
+                },
+                .on_frame =
+                    [this](entry_link& entry, frame& content)
+                {
+                    this->process_frame(entry, content);
+                    this->schedule_flush();
+                },
+                .is_in_use = [this](std::string const& entry)
+                { return this->agent.has_work_for(entry); },
+                .on_release_changed = [this](entry_link& entry) { this->send_status(entry); }};
     }
 
     void process_frame(entry_link& entry, frame& content)
@@ -348,7 +236,7 @@
             entry.sent_snapshot_offset = current.offset;
             frame out;
             out.snapshot = current;
-            entry.link->send(encode_frame(out));
+            entry.link->send(encode_frame(out, entry.protocol));
         }
     }
 
@@ -368,23 +256,35 @@
         {
             std::visit([this](auto& item) { this->execute(item); }, action);
         }
-        for (auto& [address, entry] : this->entries)
-        {
-            if (!entry.reports.empty())
+        this->connections.for_each_linked(
+            [this](entry_link& entry)
             {
-                this->send_status(entry);
-            }
-        }
+                if (!entry.reports.empty())
+                {
+                    this->send_status(entry);
+                }
+            });
     }
 
     void send_status(entry_link& entry)
     {
+        auto const now = this->clock.steady_now();
         frame out;
         out.reports = std::exchange(entry.reports, {});
+        out.entries = std::exchange(entry.new_entries, {});
         out.status = this->agent.make_status(entry.name);
+        out.status->accepting = out.status->accepting && !entry.released_at;
         out.status->snapshot_offset = this->control_state.current().offset;
-        entry.last_status_sent = this->clock.steady_now();
-        entry.link->send(encode_frame(out));
+        out.has_status_details = now - entry.last_details_sent >= max_status_interval ||
+                                 entry.sent_details != this->details_version;
+        if (out.has_status_details)
+        {
+            entry.last_details_sent = now;
+            entry.sent_details = this->details_version;
+        }
+        entry.last_status_sent = now;
+        entry.sent_load = this->load_version;
+        entry.link->send(encode_frame(out, entry.protocol));
     }
 
     void execute(dispatch::start_run& action)
@@ -419,13 +319,9 @@
                          {"reason", action.report.reason},
                          {"queued_ms", std::to_string(action.report.queued.count())},
                          {"elapsed_ms", std::to_string(action.report.elapsed.count())}});
-        for (auto& [address, entry] : this->entries)
+        if (auto* const entry = this->connections.find(action.entry); entry != nullptr)
         {
-            if (entry.name == action.entry)
-            {
-                entry.reports.push_back(std::move(action.report));
-                return;
-            }
+            entry->reports.push_back(std::move(action.report));
         }
     }
 
@@ -433,25 +329,33 @@
 
     void execute(dispatch::publish_status& /*action*/)
     {
+        ++this->load_version;
         if (std::exchange(this->is_status_scheduled, true))
         {
             return;
         }
-        this->status_timer.expires_after(status_coalescing_delay);
+        this->status_timer.expires_after(
+            dispatch::status_interval(this->connections.linked_count()));
         this->status_timer.async_wait(
             [this](boost::system::error_code code)
             {
                 this->is_status_scheduled = false;
-                if (code)
+                if (!code)
                 {
-                    return;
+                    this->publish_load();
                 }
-                for (auto& [address, entry] : this->entries)
+            });
+    }
+
+    /// Sends a status to the entries that have not received the present load with a report.
+    void publish_load()
+    {
+        this->connections.for_each_linked(
+            [this](entry_link& entry)
+            {
+                if (entry.sent_load != this->load_version)
                 {
-                    if (!entry.name.empty())
-                    {
-                        this->send_status(entry);
-                    }
+                    this->send_status(entry);
                 }
             });
     }
@@ -461,16 +365,18 @@
     telemetry::event_log& log;
     std::string zone;
     std::uint64_t incarnation;
-    dispatch::process_id identity;
     target_client& target;
     dispatch::run_agent agent;
+    internal::entry_connections connections;
     internal::renewal_loop renewals;
     dispatch::control_snapshot_store control_state;
-    std::map<std::string, entry_link> entries;
     asio::steady_timer tick_timer;
     asio::steady_timer status_timer;
     bool is_flush_scheduled = false;
     bool is_status_scheduled = false;
+    /// Number of changes of load, and of announcements of the target.
+    std::uint64_t load_version = 0;
+    std::uint64_t details_version = 0;
     bool was_reachable = true;
     std::string last_unavailable_reason;
     std::function<void()> on_stopped;
@@ -485,7 +391,8 @@
                            telemetry::event_log& log, telemetry::metrics_registry& metrics) const
 {
     return std::make_unique<agent_node_impl>(io, clock, target, log, metrics, this->own_name,
-                                             this->own_zone, this->seed_links, this->agent_limits);
+                                             this->own_zone, this->seed_links, this->agent_limits,
+                                             this->max_links);
 }
 
 } // namespace filbertroad::node
--- a/filbertroad/node/agent_node.hpp
+++ b/filbertroad/node/agent_node.hpp
@@ -60,7 +60,7 @@
     virtual void open() = 0;
     virtual void target_announced(dispatch::target_announcement const& announcement) = 0;
     virtual void target_removed(std::string const& name) = 0;
-    /// Adds an entry to connect to, as found in the platform's records.
+    /// Adds an entry that the agent may link to, as found in the platform's records.
     virtual void add_entry(dispatch::entry_address const& entry) = 0;
     /// Begins a graceful shutdown; `handler` is called once no run is queued or in progress.
     virtual void stop(std::function<void()> handler) = 0;
@@ -96,6 +96,13 @@
         return *this;
     }
 
+    /// Number of entries to which the agent is linked at the same time.
+    builder& max_entry_links(std::size_t value)
+    {
+        this->max_links = value;
+        return *this;
+    }
+
     [[nodiscard]] std::unique_ptr<agent_node> build(boost::asio::io_context& io,
                                                     base::clock const& clock, target_client& target,
                                                     telemetry::event_log& log,
@@ -106,6 +113,7 @@
     std::string own_zone;
     std::vector<std::string> seed_links;
     dispatch::agent_limits agent_limits;
+    std::size_t max_links = 8;
 };
 
 } // namespace filbertroad::node
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -38,8 +38,14 @@
 struct agent_link
 {
     std::shared_ptr<net::link> link;
+    /// Version of the link protocol of the agent.
+    std::uint32_t protocol = 0;
     frame pending_frame;
     bool has_pending_frame = false;
+    /// Whether the frame is sent with the next flush. Others are sent with the next tick.
+    bool is_urgent = false;
+    /// Newest status that had its details.
+    dispatch::target_status details;
     base::steady_time last_received{};
     base::steady_time last_heartbeat_sent{};
     std::uint64_t newest_status_stamp_ms = 0;
@@ -143,8 +149,7 @@
         this->log.write(events::entry_known, {{"entry", entry.name}, {"link", entry.link}});
         for (auto& [name, agent] : this->agents)
         {
-            agent.pending_frame.entries.push_back(entry);
-            agent.has_pending_frame = true;
+            this->urgent_frame(agent).entries.push_back(entry);
         }
         this->schedule_flush();
     }
@@ -177,7 +182,7 @@
         }
         if (content->sender_agent)
         {
-            this->register_agent(link, *content->sender_agent);
+            this->register_agent(link, *content->sender_agent, content->sender_protocol);
         }
         auto const found = this->agent_by_link.find(link->number());
         if (found != this->agent_by_link.end())
@@ -221,7 +226,8 @@
         return hello;
     }
 
-    void register_agent(std::shared_ptr<net::link> const& link, dispatch::process_id const& agent)
+    void register_agent(std::shared_ptr<net::link> const& link, dispatch::process_id const& agent,
+                        std::uint32_t protocol)
     {
         auto& state = this->agents[agent.name];
         if (state.link)
@@ -229,11 +235,12 @@
             this->agent_by_link.erase(state.link->number());
             state.link->close();
         }
+        std::erase(this->pending_links, &state);
         state = {};
         state.link = link;
+        state.protocol = protocol;
         state.last_received = this->clock.steady_now();
-        state.pending_frame = this->make_hello();
-        state.has_pending_frame = true;
+        this->urgent_frame(state) = this->make_hello();
         state.sent_snapshot_offset = this->control_state.current().offset;
         this->agent_by_link[link->number()] = agent.name;
         this->dispatcher.agent_connected(agent);
@@ -247,6 +254,7 @@
         // The status comes first: a task that the agent returned is placed by the load it reports.
         if (content.status)
         {
+            this->complete_details(state, content);
             state.newest_status_stamp_ms = content.status->stamp_ms;
             this->dispatcher.status_received(agent, *content.status);
             this->send_heartbeat_if_due(state);
@@ -260,18 +268,36 @@
         {
             this->apply_snapshot(std::move(*content.snapshot), agent);
         }
+        for (auto const& entry : content.entries)
+        {
+            this->add_entry(entry);
+        }
         this->schedule_flush();
     }
 
+    /// Adds the details of an earlier status on the link to a status that was sent without them.
+    static void complete_details(agent_link& state, frame& content)
+    {
+        auto& status = *content.status;
+        if (content.has_status_details)
+        {
+            state.details = status;
+            return;
+        }
+        status.service = state.details.service;
+        status.zone = state.details.zone;
+        status.capacity = state.details.capacity;
+        status.class_load = state.details.class_load;
+    }
+
     void send_heartbeat_if_due(agent_link& state)
     {
         auto const now = this->clock.steady_now();
         if (now - state.last_heartbeat_sent >= min_heartbeat_interval)
         {
             state.last_heartbeat_sent = now;
-            state.pending_frame.heartbeat = {state.newest_status_stamp_ms,
-                                             this->control_state.current().offset};
-            state.has_pending_frame = true;
+            this->pending_frame(state).heartbeat = {state.newest_status_stamp_ms,
+                                                    this->control_state.current().offset};
         }
     }
 
@@ -281,8 +307,7 @@
         if (offset < current.offset && state.sent_snapshot_offset < current.offset)
         {
             state.sent_snapshot_offset = current.offset;
-            state.pending_frame.snapshot = current;
-            state.has_pending_frame = true;
+            this->urgent_frame(state).snapshot = current;
         }
     }
 
@@ -357,7 +382,8 @@
             }
         }
         this->dispatcher.tick();
-        this->flush();
+        this->execute_actions();
+        this->send_pending(true);
     }
 
     void send_hello_to_seeds()
@@ -408,25 +434,56 @@
     void flush()
     {
         this->is_flush_scheduled = false;
+        this->execute_actions();
+        this->send_pending(false);
+    }
+
+    void execute_actions()
+    {
         for (auto& action : this->dispatcher.take_actions())
         {
             std::visit([this](auto& item) { this->execute(item); }, action);
         }
-        for (auto& [name, agent] : this->agents)
+    }
+
+    /// Sends the pending frames; only the urgent ones unless `all`.
+    void send_pending(bool all)
+    {
+        std::erase_if(this->pending_links,
+                      [all](agent_link* agent)
+                      {
+                          if (!all && !agent->is_urgent)
+                          {
+                              return false;
+                          }
+                          if (agent->link)
+                          {
+                              agent->link->send(
+                                  encode_frame(agent->pending_frame, agent->protocol));
+                          }
+                          agent->pending_frame = {};
+                          agent->has_pending_frame = false;
+                          agent->is_urgent = false;
+                          return true;
+                      });
+    }
+
+    /// Frame to the agent that is sent with the next tick at the latest. Acknowledgements and
+    /// heartbeats wait for it, so that they share a message.
+    frame& pending_frame(agent_link& state)
+    {
+        if (!std::exchange(state.has_pending_frame, true))
         {
-            if (std::exchange(agent.has_pending_frame, false) && agent.link)
-            {
-                agent.link->send(encode_frame(agent.pending_frame));
-            }
-            agent.pending_frame = {};
+            this->pending_links.push_back(&state);
         }
+        return state.pending_frame;
     }
 
-    frame& pending_frame_for(std::string const& agent)
+    /// Like pending_frame(), but the frame is sent with the next flush.
+    frame& urgent_frame(agent_link& state)
     {
-        auto& state = this->agents[agent];
-        state.has_pending_frame = true;
-        return state.pending_frame;
+        state.is_urgent = true;
+        return this->pending_frame(state);
     }
 
     void execute(dispatch::send_start& action)
@@ -437,22 +494,23 @@
                                            {"agent", action.agent},
                                            {"wait_ms", std::to_string(action.wait.count())},
                                            {"run_ms", std::to_string(action.run.count())}});
-        this->pending_frame_for(action.agent).starts.push_back(std::move(action.order));
+        this->urgent_frame(this->agents[action.agent]).starts.push_back(std::move(action.order));
     }
 
     void execute(dispatch::send_cancel& action)
     {
-        this->pending_frame_for(action.agent).cancels.push_back(std::move(action.id));
+        this->urgent_frame(this->agents[action.agent]).cancels.push_back(std::move(action.id));
     }
 
     void execute(dispatch::send_acknowledgement& action)
     {
-        this->pending_frame_for(action.agent).acknowledged.push_back(std::move(action.id));
+        this->pending_frame(this->agents[action.agent])
+            .acknowledged.push_back(std::move(action.id));
     }
 
     void execute(dispatch::send_resume& action)
     {
-        this->pending_frame_for(action.agent).resume = std::move(action.orders);
+        this->urgent_frame(this->agents[action.agent]).resume = std::move(action.orders);
     }
 
     void execute(dispatch::answer_job& action)
@@ -483,6 +541,8 @@
     std::unique_ptr<net::link_server> link_listener;
     std::map<std::string, agent_link> agents;
     std::map<std::uint64_t, std::string> agent_by_link;
+    /// Agents with a pending frame. Entries of `agents` are never erased.
+    std::vector<agent_link*> pending_links;
     std::map<std::string, std::string> entries;
     std::map<std::uint64_t, std::shared_ptr<net::link>> pending_hellos;
     bool has_seed_responded = false;
--- a/filbertroad/node/frame.cpp
+++ b/filbertroad/node/frame.cpp
@@ -1,6 +1,7 @@
 #include "filbertroad/node/frame.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace filbertroad::node
 {
@@ -103,26 +104,32 @@
     return {read(in.id()), read(in.outcome()), in.reason(), milliseconds(in.elapsed_ms())};
 }
 
+void write_details(dispatch::target_status const& status, wire::agent_load& out)
+{
+    out.set_service(status.service);
+    out.set_zone(status.zone);
+    write(status.capacity, *out.mutable_capacity());
+    for (double const share : status.class_load)
+    {
+        out.add_class_load(share);
+    }
+}
+
 void write(dispatch::target_status const& status, wire::agent_load& out)
 {
     out.set_stamp_ms(status.stamp_ms);
     out.set_snapshot_offset(status.snapshot_offset);
     out.set_starts_seen(status.starts_seen);
     out.set_accepting(status.accepting);
-    out.set_service(status.service);
-    out.set_zone(status.zone);
-    write(status.capacity, *out.mutable_capacity());
     write(status.free, *out.mutable_free());
     out.set_running_work(status.running_work);
-    for (double const work : status.queued_work)
+    bool const has_queue = std::any_of(status.queued_work.begin(), status.queued_work.end(),
+                                       [](double work) { return work != 0; });
+    if (has_queue)
     {
-        out.add_queued_work(work);
+        out.mutable_queued_work()->Add(status.queued_work.begin(), status.queued_work.end());
     }
     out.set_speed(status.speed);
-    for (double const share : status.class_load)
-    {
-        out.add_class_load(share);
-    }
 }
 
 dispatch::target_status read(wire::agent_load const& in)
@@ -200,12 +207,27 @@
     return {in.name(), in.incarnation()};
 }
 
-void write_orders(frame const& content, wire::dispatch_frame& out)
+/// Tasks of a job share their payload, so it is sent once for those in the same frame.
+void write_starts(frame const& content, std::uint32_t receiver_protocol, wire::dispatch_frame& out)
 {
+    dispatch::start_order const* previous = nullptr;
     for (auto const& order : content.starts)
     {
-        write(order, *out.add_starts());
+        auto& added = *out.add_starts();
+        write(order, added);
+        bool const is_shared =
+            receiver_protocol >= 1 && previous != nullptr && previous->payload == order.payload;
+        if (is_shared)
+        {
+            added.clear_payload();
+            added.set_payload_of_previous(true);
+        }
+        previous = &order;
     }
+}
+
+void write_orders(frame const& content, wire::dispatch_frame& out)
+{
     if (content.resume)
     {
         auto& resumed = *out.mutable_resume();
@@ -224,11 +246,21 @@
     }
 }
 
-void read_orders(wire::dispatch_frame const& in, frame& out)
+/// Returns false if an order refers to a payload that the frame does not have.
+[[nodiscard]] bool read_orders(wire::dispatch_frame const& in, frame& out)
 {
     for (auto const& order : in.starts())
     {
-        out.starts.push_back(read(order));
+        auto added = read(order);
+        if (order.payload_of_previous())
+        {
+            if (out.starts.empty())
+            {
+                return false;
+            }
+            added.payload = out.starts.back().payload;
+        }
+        out.starts.push_back(std::move(added));
     }
     if (in.has_resume())
     {
@@ -246,26 +278,34 @@
     {
         out.acknowledged.push_back(read(id));
     }
+    return true;
 }
 
 } // namespace
 
-wire::link_message encode_frame(frame const& content)
+wire::link_message encode_frame(frame const& content, std::uint32_t receiver_protocol)
 {
     wire::link_message message;
     auto& out = *message.mutable_dispatch();
     if (content.sender_agent)
     {
         write(*content.sender_agent, *out.mutable_agent());
+        out.mutable_agent()->set_protocol_version(protocol_version);
     }
     if (content.sender_entry)
     {
         write(*content.sender_entry, *out.mutable_entry());
+        out.mutable_entry()->set_protocol_version(protocol_version);
     }
+    write_starts(content, receiver_protocol, out);
     write_orders(content, out);
     if (content.status)
     {
         write(*content.status, *out.mutable_load());
+        if (content.has_status_details || receiver_protocol == 0)
+        {
+            write_details(*content.status, *out.mutable_load());
+        }
     }
     if (content.heartbeat)
     {
@@ -300,15 +340,21 @@
     if (in.has_agent())
     {
         out.sender_agent = read(in.agent());
+        out.sender_protocol = in.agent().protocol_version();
     }
     if (in.has_entry())
     {
         out.sender_entry = read(in.entry());
+        out.sender_protocol = in.entry().protocol_version();
+    }
+    if (!read_orders(in, out))
+    {
+        return std::nullopt;
     }
-    read_orders(in, out);
     if (in.has_load())
     {
         out.status = read(in.load());
+        out.has_status_details = in.load().has_capacity();
     }
     if (in.has_echo())
     {
--- a/filbertroad/node/frame.hpp
+++ b/filbertroad/node/frame.hpp
@@ -18,26 +18,37 @@
 namespace filbertroad::node
 {
 
+/// Version of the link protocol of this program, sent in the first frame of a link. Version 1 adds
+/// orders that share a payload and statuses without details.
+inline constexpr std::uint32_t protocol_version = 1;
+
 struct frame
 {
     /// Identity of the sending agent; set in the first frame of its link.
     std::optional<dispatch::process_id> sender_agent;
     /// Identity of the sending entry; set in the first frame that it sends on a link.
     std::optional<dispatch::process_id> sender_entry;
+    /// Protocol version of the sender; set together with its identity.
+    std::uint32_t sender_protocol = 0;
     std::vector<dispatch::start_order> starts;
     std::optional<std::vector<dispatch::start_order>> resume;
     std::vector<dispatch::run_id> cancels;
     std::vector<dispatch::run_id> acknowledged;
     std::optional<dispatch::target_status> status;
+    /// Whether `status` has the details that seldom change: service, zone, capacity and class load.
+    /// Statuses without them are only sent to receivers of protocol version 1 or later.
+    bool has_status_details = true;
     std::optional<dispatch::entry_heartbeat> heartbeat;
     std::vector<dispatch::run_report> reports;
     std::optional<dispatch::control_snapshot> snapshot;
     std::vector<dispatch::entry_address> entries;
 };
 
-[[nodiscard]] wire::link_message encode_frame(frame const& content);
+/// `receiver_protocol` is the protocol version of the receiver; 0 if it is not known yet.
+[[nodiscard]] wire::link_message encode_frame(frame const& content,
+                                              std::uint32_t receiver_protocol = 0);
 
-/// Returns the frame in `message`; nothing if the message carries none.
+/// Returns the frame in `message`; nothing if the message carries none or a malformed one.
 [[nodiscard]] std::optional<frame> decode_frame(wire::link_message const& message);
 
 } // namespace filbertroad::node
--- /dev/null
+++ b/filbertroad/node/frame_test.cpp
@@ -0,0 +1,76 @@
+#include "filbertroad/node/frame.hpp"
+
+#include <gtest/gtest.h>
+
+namespace filbertroad::node
+{
+namespace
+{
+
+dispatch::start_order make_order(std::string const& task, std::string payload)
+{
+    dispatch::start_order order;
+    order.id = {task, 1};
+    order.payload = std::move(payload);
+    return order;
+}
+
+frame make_starts()
+{
+    frame content;
+    content.starts = {make_order("a", std::string(1'000, 'x')),
+                      make_order("b", std::string(1'000, 'x')),
+                      make_order("c", std::string(1'000, 'y'))};
+    return content;
+}
+
+// Guards against a link filled by the payload of a wide job, which every task of the job carried.
+TEST(frame_test, payload_shared_by_consecutive_starts_is_sent_once)
+{
+    auto const content = make_starts();
+    auto const message = encode_frame(content, protocol_version);
+    EXPECT_LT(message.ByteSizeLong(), 2'200U);
+    auto const decoded = decode_frame(message);
+    ASSERT_TRUE(decoded);
+    ASSERT_EQ(decoded->starts.size(), 3U);
+    for (std::size_t index = 0; index < content.starts.size(); ++index)
+    {
+        EXPECT_EQ(decoded->starts[index].payload, content.starts[index].payload);
+    }
+}
+
+// Guards against empty payloads at agents of the version before, during a rolling update.
+TEST(frame_test, every_start_to_an_agent_of_protocol_0_has_its_payload)
+{
+    auto const message = encode_frame(make_starts());
+    for (auto const& order : message.dispatch().starts())
+    {
+        EXPECT_EQ(order.payload().size(), 1'000U);
+    }
+}
+
+// Guards against a run with the payload of nothing.
+TEST(frame_test, frame_whose_first_start_has_no_payload_of_its_own_is_rejected)
+{
+    wire::link_message message;
+    message.mutable_dispatch()->add_starts()->set_payload_of_previous(true);
+    EXPECT_FALSE(decode_frame(message));
+}
+
+TEST(frame_test, status_leaves_out_details_for_receivers_that_keep_them)
+{
+    frame content;
+    content.status = dispatch::target_status{};
+    content.status->service = "service";
+    content.status->capacity = {32'000, 64'000, 0};
+    content.has_status_details = false;
+    auto const without = decode_frame(encode_frame(content, protocol_version));
+    EXPECT_FALSE(without->has_status_details);
+    EXPECT_TRUE(without->status->service.empty());
+    auto const old_receiver = decode_frame(encode_frame(content));
+    EXPECT_TRUE(old_receiver->has_status_details);
+    EXPECT_EQ(old_receiver->status->service, "service");
+}
+
+} // namespace
+} // namespace filbertroad::node
--- a/filbertroad/settings/internal/schema.hpp
+++ b/filbertroad/settings/internal/schema.hpp
@@ -308,6 +308,13 @@
         .member = &dispatch_agent_settings::store_address,
         .required = true,
         .description = "Address of the platform's store, queried for entries if no seed replies."},
+    row<dispatch_agent_settings>{
+        .key = "limits.max_entry_links",
+        .kind = value_kind::number,
+        .member = &dispatch_agent_settings::max_entry_links,
+        .unit = "links",
+        .bounds = {1, 1'000},
+        .description = "Number of entries to which this agent is linked at the same time."},
     row<dispatch_agent_settings>{
         .key = "grace_time_ms",
         .kind = value_kind::number,
--- a/filbertroad/settings/settings.hpp
+++ b/filbertroad/settings/settings.hpp
@@ -107,6 +107,8 @@
     std::string target_address;
     std::vector<std::string> seeds;
     std::string store_address;
+    /// Number of entries to which the agent is linked at the same time.
+    std::uint64_t max_entry_links = 8;
     std::chrono::milliseconds grace_time{6'000};
 };
 
--- a/filbertroad/telemetry/events.hpp
+++ b/filbertroad/telemetry/events.hpp
@@ -117,6 +117,9 @@
 inline constexpr event_definition entry_lost{
     4008, severity::warning, "entry_lost",
     "The link to an entry is down; its runs are stopped unless the entry reconnects in time."};
+inline constexpr event_definition entry_released{
+    4009, severity::info, "entry_released",
+    "A link to an entry beyond the bound was closed, since entries of higher rank are linked."};
 
 inline constexpr event_definition job_refused{5001, severity::warning, "job_refused",
                                               "A job was not accepted; none of its tasks ran."};
@@ -209,6 +212,7 @@
     events::shard_released,
     events::entry_linked,
     events::entry_lost,
+    events::entry_released,
     events::job_refused,
     events::job_failed,
     events::job_answered,
