Simulate bounded links that move between entries under faults

Five entries, two links an agent: links are replaced, surplus ones released, while processes freeze, restart and are cut off. Agents connect through entry_selection in every simulation now, with its backoff, as the agent process does.

--- a/filbertroad/dispatch/cluster_property_test.cpp
+++ b/filbertroad/dispatch/cluster_property_test.cpp
@@ -31,6 +31,29 @@
     EXPECT_GT(completed * 4, submitted);
 }
 
+// Guards against the same violations when the links of an agent move between entries, and surplus
+// links are closed, while processes freeze, restart and are cut off.
+TEST(cluster_property_test, invariants_hold_while_bounded_links_move_between_entries)
+{
+    constexpr std::size_t entry_count = 5;
+    constexpr std::size_t links_per_agent = 2;
+    std::size_t completed = 0;
+    std::size_t submitted = 0;
+    std::size_t released = 0;
+    for (std::uint64_t seed = 1; seed <= seed_count; ++seed)
+    {
+        cluster_simulation cluster(seed, entry_count, links_per_agent);
+        cluster.run(std::chrono::seconds(15));
+        EXPECT_TRUE(cluster.violations().empty())
+            << "seed " << seed << ": " << cluster.violations().front();
+        completed += cluster.completed();
+        submitted += cluster.submitted();
+        released += cluster.released_links();
+    }
+    EXPECT_GT(completed * 4, submitted);
+    EXPECT_GT(released, seed_count);
+}
+
 // Guards against two concurrent runs of a task, and against a start after the outcome "not run",
 // when an order reaches a later process of its target. Orders name the target's id, and an id may
 // be reused.
--- a/filbertroad/dispatch/cluster_simulation.cpp
+++ b/filbertroad/dispatch/cluster_simulation.cpp
@@ -1,5 +1,7 @@
 #include "filbertroad/dispatch/cluster_simulation.hpp"
 
+#include "filbertroad/dispatch/entry_selection.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,11 +11,13 @@
 {
 
 constexpr milliseconds step_time{5};
-constexpr std::size_t entry_count = 2;
 constexpr std::size_t agent_count = 4;
 constexpr std::int64_t target_cpu = 10'000;
 /// Same as the delay of the agent process after an unanswered renewal.
 constexpr milliseconds renewal_retry_delay{10};
+/// Time from the last status that accepts runs until a surplus link is closed, as in the agent
+/// process.
+constexpr milliseconds release_time{300};
 
 /// `KEY` of a task named `KEY.0.STEP.INDEX`.
 std::string job_of(std::string const& task)
@@ -64,8 +68,13 @@
     bool has_crashed = false;
     base::steady_time frozen_until{};
     std::vector<std::function<void()>> deferred_events;
+    std::unique_ptr<entry_selection> selection;
     /// Entries to which it has a working link.
     std::set<std::string> linked;
+    /// Entries that `selection` regards as linked.
+    std::set<std::string> selected;
+    /// Surplus links, with the time of their first status that accepts no run.
+    std::map<std::string, base::steady_time> releasing;
     /// Number of the current link, by entry; messages of an earlier link are lost.
     std::map<std::string, std::uint64_t> link_number;
     /// Number of the newest renewal; a late answer to an earlier renewal does not start another.
@@ -87,8 +96,17 @@
     std::vector<std::function<void()>> deferred_events;
 };
 
-cluster_simulation::cluster_simulation(std::uint64_t seed) : generator(seed)
+cluster_simulation::cluster_simulation(std::uint64_t seed, std::size_t entry_count,
+                                       std::size_t links_per_agent)
+    : links_per_agent(links_per_agent), generator(seed)
 {
+    for (std::size_t index = 0; index < entry_count; ++index)
+    {
+        auto entry = std::make_unique<entry_process>();
+        entry->name = "entry-" + std::to_string(index);
+        entry->core = std::make_unique<job_dispatcher>(this->clock, dispatch_limits{});
+        this->entries.push_back(std::move(entry));
+    }
     for (std::size_t index = 0; index < agent_count; ++index)
     {
         auto managed_target = std::make_unique<target>();
@@ -101,13 +119,6 @@
         this->agents.push_back(std::move(agent));
         this->restart(*this->agents.back());
     }
-    for (std::size_t index = 0; index < entry_count; ++index)
-    {
-        auto entry = std::make_unique<entry_process>();
-        entry->name = "entry-" + std::to_string(index);
-        entry->core = std::make_unique<job_dispatcher>(this->clock, dispatch_limits{});
-        this->entries.push_back(std::move(entry));
-    }
 }
 
 cluster_simulation::~cluster_simulation() = default;
@@ -206,7 +217,7 @@
     {
         return;
     }
-    auto& entry = *this->entries[this->generator() % entry_count];
+    auto& entry = *this->entries[this->generator() % this->entries.size()];
     job_request job;
     job.key = "job" + std::to_string(this->submitted_jobs++);
     job.route = "route";
@@ -242,7 +253,7 @@
     }
     auto const now = this->clock.steady_now();
     auto& agent = *this->agents[this->generator() % agent_count];
-    auto& entry = *this->entries[this->generator() % entry_count];
+    auto& entry = *this->entries[this->generator() % this->entries.size()];
     switch (this->generator() % 8)
     {
     case 0:
@@ -325,24 +336,89 @@
     ++agent.renewals;
     agent.core = std::make_unique<run_agent>(this->clock, "zone", agent_limits{},
                                              agent.incarnation * 1'000'000);
+    agent.selection = std::make_unique<entry_selection>(agent.name, this->links_per_agent);
+    for (auto const& entry : this->entries)
+    {
+        agent.selection->add(entry->name);
+    }
+    agent.selected.clear();
+    agent.releasing.clear();
     this->renew(agent);
 }
 
+bool cluster_simulation::can_connect(agent_process const& agent, entry_process const& entry) const
+{
+    auto const now = this->clock.steady_now();
+    return now >= agent.frozen_until && now >= entry.frozen_until &&
+           !agent.partitioned_from.contains(entry.name);
+}
+
+cluster_simulation::entry_process& cluster_simulation::find_entry(std::string const& name)
+{
+    return **std::find_if(this->entries.begin(), this->entries.end(),
+                          [&](auto const& item) { return item->name == name; });
+}
+
 void cluster_simulation::connect_missing_links()
 {
+    auto const now = this->clock.steady_now();
     for (auto const& agent : this->agents)
     {
-        for (auto const& entry : this->entries)
+        if (agent->has_crashed || !agent->core->is_recovered() || now < agent->frozen_until)
+        {
+            continue;
+        }
+        this->report_lost_links(*agent);
+        this->release_surplus_links(*agent);
+        for (auto const& name : agent->selection->due(now))
         {
-            auto const now = this->clock.steady_now();
-            bool const is_possible = !agent->has_crashed && agent->core->is_recovered() &&
-                                     now >= agent->frozen_until && now >= entry->frozen_until &&
-                                     !agent->partitioned_from.contains(entry->name);
-            if (is_possible && agent->linked.insert(entry->name).second)
+            auto& entry = this->find_entry(name);
+            agent->selection->started(name);
+            if (!this->can_connect(*agent, entry))
             {
-                this->connect(*agent, *entry);
+                agent->selection->failed(name, now);
+                continue;
             }
+            agent->selection->connected(name, now);
+            agent->selected.insert(name);
+            agent->linked.insert(name);
+            this->connect(*agent, entry);
+        }
+    }
+}
+
+void cluster_simulation::report_lost_links(agent_process& agent)
+{
+    for (auto const& name : std::set(agent.selected))
+    {
+        if (!agent.linked.contains(name))
+        {
+            agent.selected.erase(name);
+            agent.releasing.erase(name);
+            agent.selection->failed(name, this->clock.steady_now());
+        }
+    }
+}
+
+void cluster_simulation::release_surplus_links(agent_process& agent)
+{
+    auto const now = this->clock.steady_now();
+    auto const surplus = agent.selection->surplus(now);
+    std::set<std::string> const names(surplus.begin(), surplus.end());
+    std::erase_if(agent.releasing, [&](auto const& item) { return !names.contains(item.first); });
+    for (auto const& name : names)
+    {
+        auto const since = agent.releasing.emplace(name, now).first->second;
+        if (now - since < release_time || agent.core->has_work_for(name))
+        {
+            continue;
         }
+        agent.selection->released(name);
+        agent.releasing.erase(name);
+        agent.selected.erase(name);
+        agent.linked.erase(name);
+        this->find_entry(name).core->agent_disconnected(agent.name);
+        ++this->released_link_count;
     }
 }
 
@@ -419,7 +495,8 @@
                                        static_cast<std::uint64_t>(this->submitted_jobs + 1)});
         for (auto const& entry : this->entries)
         {
-            auto const status = agent->core->make_status(entry->name);
+            auto status = agent->core->make_status(entry->name);
+            status.accepting = status.accepting && !agent->releasing.contains(entry->name);
             this->send_to_entry(*entry, *agent,
                                 [this, &agent = *agent, &entry = *entry, status]
                                 {
--- a/filbertroad/dispatch/cluster_simulation.hpp
+++ b/filbertroad/dispatch/cluster_simulation.hpp
@@ -26,7 +26,13 @@
 class cluster_simulation
 {
 public:
-    explicit cluster_simulation(std::uint64_t seed);
+    explicit cluster_simulation(std::uint64_t seed)
+        : cluster_simulation(seed, default_entries, default_entries)
+    {
+    }
+
+    /// Simulates `entry_count` entries, of which each agent is linked to `links_per_agent`.
+    cluster_simulation(std::uint64_t seed, std::size_t entry_count, std::size_t links_per_agent);
 
     /// Whether a restarted target accepts orders that were sent to its earlier process, as happens
     /// when its id is reused.
@@ -40,9 +46,13 @@
         return this->violation_texts;
     }
     [[nodiscard]] std::size_t completed() const { return this->completed_jobs; }
+    /// Surplus links that were closed.
+    [[nodiscard]] std::size_t released_links() const { return this->released_link_count; }
     [[nodiscard]] std::size_t submitted() const { return this->submitted_jobs; }
 
 private:
+    static constexpr std::size_t default_entries = 2;
+
     struct target;
     struct agent_process;
     struct entry_process;
@@ -59,6 +69,11 @@
     void inject_faults();
     void connect(agent_process& agent, entry_process& entry);
     void connect_missing_links();
+    /// Tells the agent's entry_selection which of its links were lost.
+    void report_lost_links(agent_process& agent);
+    void release_surplus_links(agent_process& agent);
+    [[nodiscard]] bool can_connect(agent_process const& agent, entry_process const& entry) const;
+    [[nodiscard]] entry_process& find_entry(std::string const& name);
     void send_statuses();
     void send_to_agent(agent_process& agent, entry_process& entry, std::function<void()> event);
     void send_to_entry(entry_process& entry, agent_process& agent, std::function<void()> event);
@@ -78,6 +93,7 @@
     void record_answer(answer_job const& answer);
     void add_violation(std::string text) { this->violation_texts.push_back(std::move(text)); }
 
+    std::size_t links_per_agent;
     base::manual_clock clock;
     std::mt19937_64 generator;
     std::multimap<base::steady_time, std::function<void()>> events;
@@ -92,6 +108,7 @@
     std::map<std::string, job_outcome> outcomes;
     std::size_t submitted_jobs = 0;
     std::size_t completed_jobs = 0;
+    std::size_t released_link_count = 0;
     std::vector<std::string> violation_texts;
     bool delays_orders = false;
 };
