--- a/filbertroad/net/internal/tcp_link.cpp
+++ b/filbertroad/net/internal/tcp_link.cpp
@@ -240,21 +240,36 @@
     }
 }
 
+std::string tcp_link::deliver(wire::link_message& message)
+{
+    try
+    {
+        this->handlers.on_message(this->shared_from_this(), message);
+        return {};
+    }
+    catch (std::exception const& exception)
+    {
+        return std::string("handler of the message failed: ") + exception.what();
+    }
+}
+
 std::optional<base::error<net_error>> tcp_link::on_stream_bytes(std::string_view bytes)
 {
-    auto const link = this->shared_from_this();
+    std::string handler_error;
     auto error = this->reader.feed(bytes,
                                    [&](wire::link_message& message)
                                    {
                                        ++this->messages_received;
-                                       if (this->handlers.on_message)
+                                       if (this->handlers.on_message && handler_error.empty())
                                        {
-                                           this->handlers.on_message(link, message);
+                                           handler_error = this->deliver(message);
                                        }
                                    });
     if (!error)
     {
-        return std::nullopt;
+        return handler_error.empty()
+                   ? std::nullopt
+                   : std::optional(base::error<net_error>{net_error::protocol, handler_error});
     }
     return base::error<net_error>{error->code == wire::frame_error::too_long ? net_error::too_large
                                                                              : net_error::protocol,
--- a/filbertroad/net/internal/tcp_link.hpp
+++ b/filbertroad/net/internal/tcp_link.hpp
@@ -60,6 +60,9 @@
                                           boost::asio::wait_traits<std::chrono::steady_clock>,
                                           strand_type>;
 
+    /// Calls the message handler. Returns what it threw; empty if nothing. An exception must not
+    /// pass through the frames of nghttp2, and ends only this link.
+    [[nodiscard]] std::string deliver(wire::link_message& message);
     void on_stream_opened() override;
     std::optional<base::error<net_error>> on_stream_bytes(std::string_view bytes) override;
     void on_stream_ended() override;
--- a/filbertroad/net/link_test.cpp
+++ b/filbertroad/net/link_test.cpp
@@ -9,8 +9,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <optional>
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -281,6 +283,22 @@
 }
 
 // Guards against an endless wait for a server that has stopped.
+// Guards against a process that one unexpected message takes down.
+TEST_F(link_test, handler_that_throws_closes_only_its_link)
+{
+    auto handlers = this->accepted.handlers();
+    handlers.on_message = [](auto const&, wire::link_message&)
+    { throw std::runtime_error("unexpected"); };
+    this->server = std::move(link_server::listen(this->io, "127.0.0.1:0", handlers).value());
+    this->open();
+    this->client->send(ping_with(1));
+    ASSERT_TRUE(run_until(this->io, [&] { return this->accepted.closed.has_value(); }));
+    EXPECT_THAT(this->accepted.closed->detail, testing::HasSubstr("unexpected"));
+    this->connected = {};
+    this->accepted = {};
+    this->open();
+}
+
 TEST_F(link_test, refused_connection_is_reported_once_with_its_address)
 {
     auto const stopped_address = this->address();
--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -132,8 +132,8 @@
             {
                 if (!code)
                 {
-                    this->tick();
                     this->schedule_tick();
+                    this->tick();
                 }
             });
     }
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -90,23 +90,32 @@
 
     [[nodiscard]] std::uint16_t link_port() const override { return this->link_listener->port(); }
 
-    void submit(dispatch::job_request request, answer_handler handler) override
+    std::uint64_t submit(dispatch::job_request request, answer_handler handler) override
     {
-        auto& current_handler = this->answer_handlers[request.key];
-        if (current_handler)
+        auto const submission = ++this->last_submission;
+        auto& handlers = this->answer_handlers[request.key];
+        handlers.emplace(submission, std::move(handler));
+        if (handlers.size() == 1)
+        {
+            this->dispatcher.submit(std::move(request));
+            this->schedule_flush();
+        }
+        return submission;
+    }
+
+    void withdraw(std::string const& key, std::uint64_t submission) override
+    {
+        auto const found = this->answer_handlers.find(key);
+        if (found == this->answer_handlers.end() || !found->second.contains(submission))
         {
-            auto previous_handler = std::move(current_handler);
-            current_handler = [previous_handler = std::move(previous_handler),
-                               handler = std::move(handler)](dispatch::answer_job const& answer)
-            {
-                previous_handler(answer);
-                handler(answer);
-            };
             return;
         }
-        current_handler = std::move(handler);
-        this->dispatcher.submit(std::move(request));
-        this->schedule_flush();
+        if (found->second.size() == 1)
+        {
+            this->cancel(key);
+            return;
+        }
+        found->second.erase(submission);
     }
 
     bool cancel(std::string const& key) override
@@ -365,8 +374,8 @@
             {
                 if (!code)
                 {
-                    this->tick();
                     this->schedule_tick();
+                    this->tick();
                 }
             });
     }
@@ -524,9 +533,12 @@
         auto const found = this->answer_handlers.find(action.key);
         if (found != this->answer_handlers.end())
         {
-            auto const handler = std::move(found->second);
+            auto const handlers = std::move(found->second);
             this->answer_handlers.erase(found);
-            handler(action);
+            for (auto const& [submission, handler] : handlers)
+            {
+                handler(action);
+            }
         }
     }
 
@@ -546,7 +558,9 @@
     std::map<std::string, std::string> entries;
     std::map<std::uint64_t, std::shared_ptr<net::link>> pending_hellos;
     bool has_seed_responded = false;
-    std::map<std::string, answer_handler> answer_handlers;
+    /// Handlers of open jobs, by key and number of the submission.
+    std::map<std::string, std::map<std::uint64_t, answer_handler>> answer_handlers;
+    std::uint64_t last_submission = 0;
     asio::steady_timer tick_timer;
     asio::steady_timer hello_timer;
     bool is_flush_scheduled = false;
--- a/filbertroad/node/entry_node.hpp
+++ b/filbertroad/node/entry_node.hpp
@@ -45,9 +45,13 @@
 
     /// Submits a job; `handler` is called once, with its answer. A further submission of a key
     /// whose job is still open starts nothing: the handlers of both get the answer of the open job.
-    virtual void submit(dispatch::job_request request, answer_handler handler) = 0;
-    /// Cancels a job whose caller has disconnected or asked for it; the handler of the job is
-    /// called. Returns false if there is no job of this key.
+    /// Returns a number of the submission for withdraw().
+    virtual std::uint64_t submit(dispatch::job_request request, answer_handler handler) = 0;
+    /// The caller of a submission has disconnected. Cancels the job if no other submission waits
+    /// for its answer.
+    virtual void withdraw(std::string const& key, std::uint64_t submission) = 0;
+    /// Cancels a job because a caller asked for it; all handlers of the job are called. Returns
+    /// false if there is no job of this key.
     virtual bool cancel(std::string const& key) = 0;
     [[nodiscard]] virtual bool has_job(std::string const& key) const = 0;
     [[nodiscard]] virtual std::size_t waiting_jobs(std::string const& route) const = 0;
--- a/filbertroad/node/internal/renewal_loop.cpp
+++ b/filbertroad/node/internal/renewal_loop.cpp
@@ -64,20 +64,40 @@
 void renewal_loop::handle_response(dispatch::renewal const& renewal,
                                    renewal_response const& response)
 {
-    if (response.is_fenced)
+    try
     {
-        this->agent.renewal_fenced(renewal);
+        this->process_response(renewal, response);
     }
-    if (response.list)
+    catch (...)
     {
-        this->agent.renewal_answered(renewal, *response.list);
+        // The loop goes on: without renewals the target would end all runs.
+        this->renew_later();
+        throw;
     }
-    this->on_response();
     if (response.list || response.is_fenced)
     {
         this->renew();
         return;
     }
+    this->renew_later();
+}
+
+void renewal_loop::process_response(dispatch::renewal const& renewal,
+                                    renewal_response const& response)
+{
+    if (response.is_fenced)
+    {
+        this->agent.renewal_fenced(renewal);
+    }
+    if (response.list)
+    {
+        this->agent.renewal_answered(renewal, *response.list);
+    }
+    this->on_response();
+}
+
+void renewal_loop::renew_later()
+{
     auto const timer = std::make_shared<asio::steady_timer>(this->io, renewal_retry_delay);
     timer->async_wait(
         [this, timer](boost::system::error_code code)
--- a/filbertroad/node/internal/renewal_loop.hpp
+++ b/filbertroad/node/internal/renewal_loop.hpp
@@ -30,7 +30,9 @@
 
 private:
     void renew();
+    void renew_later();
     void handle_response(dispatch::renewal const& renewal, renewal_response const& response);
+    void process_response(dispatch::renewal const& renewal, renewal_response const& response);
 
     boost::asio::io_context& io;
     dispatch::run_agent& agent;
--- a/filbertroad/telemetry/events.hpp
+++ b/filbertroad/telemetry/events.hpp
@@ -51,6 +51,9 @@
 inline constexpr event_definition settings_reloaded{
     1006, severity::info, "settings_reloaded",
     "The process was notified of changed settings; they take effect at its next start."};
+inline constexpr event_definition handler_failed{
+    1007, severity::error, "handler_failed",
+    "A handler of an event ended with an exception; the process goes on."};
 
 inline constexpr event_definition log_unreachable{
     2001, severity::error, "log_unreachable",
@@ -187,6 +190,7 @@
     events::settings_rejected,
     events::address_unusable,
     events::settings_reloaded,
+    events::handler_failed,
     events::log_unreachable,
     events::log_readable,
     events::confirmation_lost,
