Cancel a run whose start is in the same frame

Callers could have a task run twice at the same time: a job was answered 504, one of its runs went on, and the same job, submitted again through another entry, started the task a second time.

An agent applied the cancels of a frame before its starts. The cancel of a run that the frame starts found no run, and the start followed. An entry sends both in one frame whenever it gives up a job after it has placed some of its tasks: several tasks are lost together (their target or agent restarted), the first is sent again, and the second cannot end in time any more. The run then kept its target until it ended by itself, because its entry had no job for it and went on to renew its lease.

Starts are now applied first. If the frame cancels an earlier run with the same number, the start joins that run and ends with it, as before for a start that arrives while the run is being stopped.

Evidence: agent_node_test.start_that_is_cancelled_in_the_same_frame_does_not_keep_running failed before (the run went on), and job_dispatcher_test.task_sent_just_before_its_job_is_given_up_is_cancelled shows that the dispatcher produces both actions in one call.

--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -81,6 +81,19 @@
     EXPECT_EQ(this->outcome("j"), job_outcome::given_up);
 }
 
+// Guards against a run that goes on after its job is given up. Of two tasks that are placed again
+// at the same time, the second cannot end in time: the first is sent and cancelled at once.
+TEST_F(job_dispatcher_test, task_sent_just_before_its_job_is_given_up_is_cancelled)
+{
+    this->submit(make_job("j", 2));
+    this->add_agent("slow", task_cpu, 0.25);
+    ASSERT_EQ(this->outcome("j"), job_outcome::given_up);
+    auto const sent = this->starts_at("slow");
+    ASSERT_EQ(sent.size(), 1U);
+    ASSERT_EQ(this->cancels.size(), 1U);
+    EXPECT_EQ(this->cancels[0].id, sent[0].id);
+}
+
 TEST_F(job_dispatcher_test,
        job_without_targets_is_refused_as_not_run_within_a_quarter_of_its_objective)
 {
--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -202,14 +202,15 @@
         {
             this->agent.runs_resumed(entry.name, std::move(*content.resume));
         }
-        for (auto const& id : content.cancels)
-        {
-            this->agent.cancel_ordered(entry.name, id);
-        }
+        // An entry may cancel a run in the frame that starts it.
         for (auto& order : content.starts)
         {
             this->agent.start_ordered(entry.name, std::move(order));
         }
+        for (auto const& id : content.cancels)
+        {
+            this->agent.cancel_ordered(entry.name, id);
+        }
     }
 
     void apply_snapshot(dispatch::control_snapshot snapshot, std::string_view source)
--- /dev/null
+++ b/filbertroad/node/agent_node_test.cpp
@@ -0,0 +1,183 @@
+#include "filbertroad/node/agent_node.hpp"
+
+#include "filbertroad/net/internal/run_until.hpp"
+#include "filbertroad/net/link.hpp"
+#include "filbertroad/node/frame.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+#include <map>
+
+namespace filbertroad::node
+{
+namespace
+{
+
+using dispatch::milliseconds;
+
+/// A target that executes every order at once. Its runs end only when the test ends them or when
+/// they are stopped.
+class fake_target final : public target_client
+{
+public:
+    explicit fake_target(boost::asio::io_context& io) : io(io) {}
+
+    void start(dispatch::start_run const& order,
+               std::function<void(dispatch::start_answer)> handler) override
+    {
+        this->started.push_back(order.id);
+        this->running[order.id.task] = order.id.run;
+        this->call_after(milliseconds(0), [handler = std::move(handler)]
+                         { handler(dispatch::start_answer::accepted); });
+    }
+
+    void stop(dispatch::stop_run const& order, std::function<void(bool)> handler) override
+    {
+        this->finish(order.id.task, dispatch::finish_reason::stopped);
+        this->call_after(milliseconds(0), [handler = std::move(handler)] { handler(true); });
+    }
+
+    void renew(dispatch::renewal const& /*order*/, milliseconds /*wait*/,
+               std::function<void(renewal_response)> handler) override
+    {
+        this->call_after(milliseconds(5), [this, handler = std::move(handler)]
+                         { handler({.list = this->list(), .is_fenced = false}); });
+    }
+
+    void finish(std::string const& task, dispatch::finish_reason reason)
+    {
+        auto const found = this->running.find(task);
+        if (found != this->running.end())
+        {
+            this->finished.push_back({this->finished.size() + 1, {task, found->second}, reason});
+            this->running.erase(found);
+        }
+    }
+
+    std::vector<dispatch::run_id> started;
+    /// Run number by task.
+    std::map<std::string, std::uint32_t> running;
+
+private:
+    [[nodiscard]] dispatch::run_list list() const
+    {
+        dispatch::run_list content;
+        content.incarnation = 1;
+        content.clock_ms =
+            static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                           base::machine_clock().steady_now().time_since_epoch())
+                                           .count());
+        for (auto const& [task, run] : this->running)
+        {
+            content.running.push_back({{task, run}});
+        }
+        content.finished = this->finished;
+        return content;
+    }
+
+    void call_after(milliseconds delay, std::function<void()> call)
+    {
+        auto const timer = std::make_shared<boost::asio::steady_timer>(this->io, delay);
+        timer->async_wait([timer, call = std::move(call)](boost::system::error_code) { call(); });
+    }
+
+    boost::asio::io_context& io;
+    std::vector<dispatch::finished_run> finished;
+};
+
+/// An agent with a fake target, linked to a fake entry. The entry echoes every status at once and
+/// sends what the test gives it.
+class agent_node_test : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        this->agent = agent_node::builder()
+                          .name("agent")
+                          .zone("z")
+                          .seeds({"127.0.0.1:" + std::to_string(this->listener->port())})
+                          .build(this->io, this->clock, this->target, this->log, this->metrics);
+        this->agent->open();
+        this->agent->target_announced({"target", 1, "service", {9'000, 1'000, 0}, false, 1});
+        ASSERT_TRUE(net::internal::run_until(this->io, [this] { return this->is_accepting; }));
+    }
+
+    void TearDown() override { this->io.stop(); }
+
+    static dispatch::start_order make_order(std::string const& task)
+    {
+        return {.id = {task, 1},
+                .payload = "payload",
+                .resources = {3'000, 10, 0},
+                .estimate = milliseconds(200),
+                .priority = 0,
+                .queue_timeout = milliseconds(1'000)};
+    }
+
+    void send(frame const& content)
+    {
+        this->entry_link->send(encode_frame(content, protocol_version));
+    }
+
+    bool wait_for_reports(std::size_t count)
+    {
+        return net::internal::run_until(this->io,
+                                        [this, count] { return this->reports.size() >= count; });
+    }
+
+    boost::asio::io_context io{1};
+    base::machine_clock clock;
+    telemetry::null_event_log log;
+    telemetry::metrics_registry metrics;
+    fake_target target{this->io};
+    std::shared_ptr<net::link> entry_link;
+    bool is_accepting = false;
+    std::vector<dispatch::run_report> reports;
+    std::unique_ptr<net::link_server> listener = std::move(
+        net::link_server::listen(this->io, "127.0.0.1:0",
+                                 {.on_open = [](std::shared_ptr<net::link> const&) {},
+                                  .on_message = [this](std::shared_ptr<net::link> const& link,
+                                                       wire::link_message const& message)
+                                  { this->receive(link, message); },
+                                  .on_closed = [](std::shared_ptr<net::link> const&,
+                                                  base::error<net::net_error> const&) {}})
+            .value());
+    std::unique_ptr<agent_node> agent;
+
+private:
+    void receive(std::shared_ptr<net::link> const& link, wire::link_message const& message)
+    {
+        auto const content = decode_frame(message);
+        ASSERT_TRUE(content);
+        frame answer;
+        if (content->sender_agent)
+        {
+            this->entry_link = link;
+            answer.sender_entry = dispatch::process_id{"entry", 1};
+        }
+        if (content->status)
+        {
+            this->is_accepting = content->status->accepting;
+            answer.heartbeat = dispatch::entry_heartbeat{content->status->stamp_ms, 0};
+        }
+        this->reports.insert(this->reports.end(), content->reports.begin(), content->reports.end());
+        link->send(encode_frame(answer, protocol_version));
+    }
+};
+
+// Guards against a run that nobody waits for. An entry that gives up a job right after it has sent
+// a start sends the start and its cancellation in one frame. The caller submits the job again, and
+// the task would run twice at the same time.
+TEST_F(agent_node_test, start_that_is_cancelled_in_the_same_frame_does_not_keep_running)
+{
+    frame content;
+    content.starts = {make_order("t")};
+    content.cancels = {{"t", 1}};
+    this->send(content);
+    this->io.run_for(milliseconds(300));
+    EXPECT_TRUE(this->target.running.empty());
+    EXPECT_EQ(this->reports.size(), 1U);
+}
+
+} // namespace
+} // namespace filbertroad::node
