Apply the acknowledgements of a frame after its starts

A task could run twice at the same time after an entry had been frozen: the caller of a job leaves, and submits the job again to the same entry, which numbers the runs of a job from 1 again. The report of the first run 1, read after the entry has placed the second run 1 at the same agent and before the frame is sent, counts as the end of the second. The frame then carries the start and the acknowledgement. The agent applied the acknowledgement first, forgot the report, and started the run, while the entry started run 2 elsewhere. The draw that chooses an agent depends on the key of the job only, so the second submission tends to the same agent. A status and the reports of a frame are processed in this order too, and the status may place a waiting job.

The agent now applies acknowledgements last. A start that reaches it while it keeps the report of that run number is answered by the report and starts nothing. A start in a later frame than the acknowledgement was placed after the report had been processed, so it is a new run.

Evidence: agent_node_test.start_in_the_frame_that_acknowledges_the_same_run_number_has_no_effect failed before (two starts).

--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -189,10 +189,6 @@
         {
             this->add_entry(known_entry);
         }
-        for (auto const& id : content.acknowledged)
-        {
-            this->agent.report_acknowledged(entry.name, id);
-        }
         if (content.heartbeat)
         {
             this->agent.entry_heartbeat_received(entry.name, content.heartbeat->echoed_stamp_ms);
@@ -211,6 +207,12 @@
         {
             this->agent.cancel_ordered(entry.name, id);
         }
+        // Last, so that a start whose run number the entry already takes for ended gets the report
+        // again and has no other effect.
+        for (auto const& id : content.acknowledged)
+        {
+            this->agent.report_acknowledged(entry.name, id);
+        }
     }
 
     void apply_snapshot(dispatch::control_snapshot snapshot, std::string_view source)
--- a/filbertroad/node/agent_node_test.cpp
+++ b/filbertroad/node/agent_node_test.cpp
@@ -179,5 +179,27 @@
     EXPECT_EQ(this->reports.size(), 1U);
 }
 
+// Guards against two runs of a task. A job that is submitted again to the same entry numbers its
+// runs from 1 again. If the report of the earlier run 1 arrives between the start of the later one
+// and the next frame, the entry takes it for the end of the later run and starts another. The
+// start must then have no effect, although its frame acknowledges the report.
+TEST_F(agent_node_test, start_in_the_frame_that_acknowledges_the_same_run_number_has_no_effect)
+{
+    frame first;
+    first.starts = {make_order("t")};
+    this->send(first);
+    ASSERT_TRUE(
+        net::internal::run_until(this->io, [this] { return !this->target.running.empty(); }));
+    this->target.finish("t", dispatch::finish_reason::failed);
+    ASSERT_TRUE(this->wait_for_reports(1));
+    frame second;
+    second.starts = {make_order("t")};
+    second.acknowledged = {{"t", 1}};
+    this->send(second);
+    this->io.run_for(milliseconds(300));
+    EXPECT_EQ(this->target.started.size(), 1U);
+    EXPECT_EQ(this->reports.size(), 2U);
+}
+
 } // namespace
 } // namespace filbertroad::node
