Start nothing on a target whose lease has to expire

A task could run twice at the same time. But a start carries a lease as well, which holds for everything on the target, and the agent went on to start the runs of other entries. That takes a cut or killed entry, a stop that is carried out late, and a target with free resources.

An agent that withholds the lease now starts nothing and reports itself as not accepting ("stop unconfirmed"), so that entries place their tasks elsewhere. Such a start would be lost with the lease in any case.

--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -286,6 +286,11 @@
     {
         return "earlier runs not over";
     }
+    // A start would extend the lease of every run on the target.
+    if (this->is_lease_withheld())
+    {
+        return "stop unconfirmed";
+    }
     if (this->clock.steady_now() < this->backoff_until)
     {
         return "target unhealthy";
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -50,7 +50,8 @@
     /// Time that a target may take to end a run after a stop.
     milliseconds stop_grace_period{50};
     /// Time without confirmation that a stopped run has ended, after which the target's lease is no
-    /// longer renewed. An entry whose lease has expired relies on the end of the target's lease.
+    /// longer renewed and no run is started. An entry whose lease has expired relies on the end of
+    /// the target's lease.
     milliseconds stop_confirmation_timeout{300};
     /// Lowest rate of a target's clock relative to true time.
     double min_clock_rate = 0.98;
@@ -255,6 +256,8 @@
     /// Speed estimate, lowered immediately while several runs take much longer than expected.
     [[nodiscard]] double current_speed() const;
     [[nodiscard]] bool has_entry_lease(std::string_view entry) const;
+    /// Whether a stop has been unconfirmed for so long that the target's lease has to expire.
+    [[nodiscard]] bool is_lease_withheld() const;
     /// Returns the end of a lease that begins now, on the target's clock, and extends
     /// `leases_expire_at` to cover it.
     std::uint64_t grant_lease();
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -110,21 +110,27 @@
 {
     auto const now = this->clock.steady_now();
     renewal next{this->fencing_token, this->last_seen, std::nullopt, now};
-    bool withhold = !this->is_reachable();
-    this->runs.for_each(
-        [&](agent_run const& run)
-        {
-            withhold =
-                withhold || (run.state == run_state::stopping &&
-                             now - run.stop_first_sent > this->limits.stop_confirmation_timeout);
-        });
-    if (!withhold)
+    if (this->is_reachable() && !this->is_lease_withheld())
     {
         next.lease_until_ms = this->grant_lease();
     }
     return next;
 }
 
+bool run_agent::is_lease_withheld() const
+{
+    auto const now = this->clock.steady_now();
+    bool is_withheld = false;
+    this->runs.for_each(
+        [&](agent_run const& run)
+        {
+            is_withheld =
+                is_withheld || (run.state == run_state::stopping &&
+                                now - run.stop_first_sent > this->limits.stop_confirmation_timeout);
+        });
+    return is_withheld;
+}
+
 std::uint64_t run_agent::grant_lease()
 {
     auto const now = this->clock.steady_now();
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -394,6 +394,21 @@
     EXPECT_FALSE(this->last_lease.has_value());
 }
 
+// Guards against two runs of a task: the entry of a run whose stop is unconfirmed relies on the end
+// of the target's lease, which every start would extend.
+TEST_F(run_agent_test, nothing_starts_while_the_lease_is_withheld)
+{
+    this->connect("silent");
+    this->connect("live");
+    this->order("silent", "a", 3'000);
+    this->answers_stops = false;
+    this->advance_time(milliseconds(1'000), {"live"});
+    this->order("live", "b", 3'000);
+    EXPECT_EQ(this->running(), tasks{"a"});
+    ASSERT_NE(this->report("b"), nullptr);
+    EXPECT_EQ(this->report("b")->end, run_end::not_started);
+}
+
 TEST_F(run_agent_test, runs_of_an_unreachable_target_are_lost_when_its_lease_expires)
 {
     this->connect("e");
