Withhold the lease from the end of the entry's lease, not from a late stop

A task could run twice at the same time while an agent had little processor time or was paused for up to half a second. An entry that hears nothing counts from its last message: entry lease, time to confirm a stop, target lease. The agent counted the second of these from the moment at which its tick noticed the end of the entry lease. A pause in between (the target's lease outlives one of 600 ms) moved the end of the run by as much: paused from 300 to 900 ms after the last message, with stops carried out late, the run could last until 1,870 ms, and the entry starts the task elsewhere after 1,565 ms.

The time to confirm now runs from the end of the entry's lease, and a renewal made before the tick notices is withheld as well.

Evidence: run_agent_test.lease_is_withheld_in_time_although_the_agent_stops_the_run_late failed before (the renewal carried a lease).

--- a/filbertroad/dispatch/internal/run_table.hpp
+++ b/filbertroad/dispatch/internal/run_table.hpp
@@ -49,7 +49,9 @@
     std::optional<base::steady_time> verification_sent;
     /// When the target accepted the start. Lists requested later name the run unless it has ended.
     base::steady_time start_answered{};
-    base::steady_time stop_first_sent{};
+    /// When the run had to be stopped: when the first stop was sent, or when its entry's lease
+    /// ended.
+    base::steady_time stop_due{};
     base::steady_time stop_sent{};
     bool is_stop_answered = false;
     base::steady_time stop_answered{};
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -306,11 +306,15 @@
     return has_work;
 }
 
-bool run_agent::has_entry_lease(std::string_view entry) const
+base::steady_time run_agent::entry_lease_end(std::string_view entry) const
 {
     auto const found = this->sessions.find(entry);
-    return found != this->sessions.end() &&
-           this->clock.steady_now() < found->second.entry_lease_until;
+    return found == this->sessions.end() ? base::steady_time{} : found->second.entry_lease_until;
+}
+
+bool run_agent::has_entry_lease(std::string_view entry) const
+{
+    return this->clock.steady_now() < this->entry_lease_end(entry);
 }
 
 void run_agent::start_queued()
@@ -364,7 +368,7 @@
     }
     this->runs.change(run, run_state::stopping);
     run.stop_reason = reason;
-    run.stop_first_sent = this->clock.steady_now();
+    run.stop_due = this->clock.steady_now();
     this->send_stop(run);
 }
 
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -255,6 +255,8 @@
 
     /// Speed estimate, lowered immediately while several runs take much longer than expected.
     [[nodiscard]] double current_speed() const;
+    /// The clock's epoch if the entry has never had a lease.
+    [[nodiscard]] base::steady_time entry_lease_end(std::string_view entry) const;
     [[nodiscard]] bool has_entry_lease(std::string_view entry) const;
     /// Whether a stop has been unconfirmed for so long that the target's lease has to expire.
     [[nodiscard]] bool is_lease_withheld() const;
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -124,9 +124,14 @@
     this->runs.for_each(
         [&](agent_run const& run)
         {
-            is_withheld =
-                is_withheld || (run.state == run_state::stopping &&
-                                now - run.stop_first_sent > this->limits.stop_confirmation_timeout);
+            if (run.state == run_state::queued)
+            {
+                return;
+            }
+            // A run that has to end may not have been stopped yet, if tick() is late.
+            auto const due =
+                run.state == run_state::stopping ? run.stop_due : this->entry_lease_end(run.entry);
+            is_withheld = is_withheld || now - due > this->limits.stop_confirmation_timeout;
         });
     return is_withheld;
 }
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -409,6 +409,23 @@
     EXPECT_EQ(this->report("b")->end, run_end::not_started);
 }
 
+// Guards against two runs of a task: an agent that is paused or has little processor time notices
+// late that the lease of an entry is over. The entry counts from the end of its lease.
+TEST_F(run_agent_test, lease_is_withheld_in_time_although_the_agent_stops_the_run_late)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->answers_stops = false;
+    this->advance_time(milliseconds(575), {});
+    this->clock.advance(milliseconds(350));
+    this->renew();
+    EXPECT_FALSE(this->last_lease.has_value());
+    this->agent.tick();
+    this->collect();
+    this->renew();
+    EXPECT_FALSE(this->last_lease.has_value());
+}
+
 TEST_F(run_agent_test, runs_of_an_unreachable_target_are_lost_when_its_lease_expires)
 {
     this->connect("e");
