--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -189,10 +189,6 @@
         {
             this->add_entry(known_entry);
         }
-        for (auto const& id : content.acknowledged)
-        {
-            this->agent.report_acknowledged(entry.name, id);
-        }
         if (content.heartbeat)
         {
             this->agent.entry_heartbeat_received(entry.name, content.heartbeat->echoed_stamp_ms);
@@ -202,13 +198,20 @@
         {
             this->agent.runs_resumed(entry.name, std::move(*content.resume));
         }
+        // An entry may cancel a run in the frame that starts it.
+        for (auto& order : content.starts)
+        {
+            this->agent.start_ordered(entry.name, std::move(order));
+        }
         for (auto const& id : content.cancels)
         {
             this->agent.cancel_ordered(entry.name, id);
         }
-        for (auto& order : content.starts)
+        // Last, so that a start whose run number the entry already takes for ended gets the report
+        // again and has no other effect.
+        for (auto const& id : content.acknowledged)
         {
-            this->agent.start_ordered(entry.name, std::move(order));
+            this->agent.report_acknowledged(entry.name, id);
         }
     }
 
