Wait for a lease that an order to the target's earlier process gave

Two runs of a task at the same time: a target restarts under its id, falls silent soon after, and its agent reports a run as lost ("lease over") while the run goes on for up to 400 ms; the entry starts the task elsewhere.

Cause: orders name the end of the lease on the target's clock, which starts anew with each process. A renewal under way at the restart, or a start before the agent notices it, names a time far ahead on the new clock, and the new process grants its longest lease (1 s). The agent counted with the 600 ms that it had asked for.

Until the target has answered an order with a token that fences the earlier ones, each answer now lets the agent count with the longest lease from then on.

Found by the simulation, in which runs were so far shorter than the leases (667 ms at most), so that a lease that ends too late never showed. It has an option now in which runs last up to 1,500 ms, entries crash, and callers send a job again through any entry.

--- a/filbertroad/dispatch/cluster_property_test.cpp
+++ b/filbertroad/dispatch/cluster_property_test.cpp
@@ -1,6 +1,8 @@
 #include "filbertroad/dispatch/cluster_simulation.hpp"
 
 #include <gtest/gtest.h>
+#include <numeric>
+#include <vector>
 
 namespace filbertroad::dispatch
 {
@@ -84,5 +86,32 @@
     }
 }
 
+// Guards against two concurrent runs of a task when runs outlast the leases, and when callers send
+// their jobs again through another entry after a crash of the first entry, a lost connection, or an
+// answer "given up": the runs of the earlier submission must have ended by then.
+TEST(cluster_property_test, invariants_hold_when_callers_send_their_jobs_again)
+{
+    std::vector<std::uint64_t> seeds(seed_count);
+    std::iota(seeds.begin(), seeds.end(), 1);
+    // A target restarted, took a renewal to its earlier process, and fell silent: the lease was
+    // longer than its agent assumed.
+    seeds.insert(seeds.end(), {2252, 3722});
+    std::size_t completed = 0;
+    std::size_t resubmitted = 0;
+    for (auto const seed : seeds)
+    {
+        cluster_simulation cluster(seed);
+        cluster.callers_resubmit = true;
+        cluster.longest_run = milliseconds(900);
+        cluster.run(std::chrono::seconds(15));
+        EXPECT_TRUE(cluster.violations().empty())
+            << "seed " << seed << ": " << cluster.violations().front();
+        completed += cluster.completed();
+        resubmitted += cluster.resubmitted();
+    }
+    EXPECT_GT(completed, seed_count);
+    EXPECT_GT(resubmitted, seed_count);
+}
+
 } // namespace
 } // namespace filbertroad::dispatch
--- a/filbertroad/dispatch/cluster_simulation.cpp
+++ b/filbertroad/dispatch/cluster_simulation.cpp
@@ -18,6 +18,12 @@
 /// Time from the last status that accepts runs until a surplus link is closed, as in the agent
 /// process.
 constexpr milliseconds release_time{300};
+/// Longest lease that a target grants.
+constexpr milliseconds max_lease{1'000};
+/// Shortest time from a lost connection or an answer "given up" until the platform's callers send
+/// the job again.
+constexpr milliseconds resubmission_delay{1'300};
+constexpr std::uint32_t max_submissions = 3;
 
 /// `KEY` of a task named `KEY.0.STEP.INDEX`.
 std::string job_of(std::string const& task)
@@ -51,6 +57,13 @@
     bool is_unresponsive = false;
     double speed = 1;
 
+    /// Extends the lease to `until`, but at most by `max_lease` from now.
+    void extend_lease(std::uint64_t until, base::clock const& clock)
+    {
+        auto const longest = this->clock_ms(clock) + static_cast<std::uint64_t>(max_lease.count());
+        this->lease_until = std::max(this->lease_until, std::min(until, longest));
+    }
+
     [[nodiscard]] std::uint64_t clock_ms(base::clock const& clock) const
     {
         auto const now =
@@ -92,13 +105,16 @@
     std::string name;
     std::uint64_t incarnation = 1;
     std::unique_ptr<job_dispatcher> core;
+    bool has_crashed = false;
     base::steady_time frozen_until{};
     std::vector<std::function<void()>> deferred_events;
+    /// Jobs whose callers have disconnected, until the entry notices. Their answers reach nobody.
+    std::set<std::string> abandoned_jobs;
 };
 
 cluster_simulation::cluster_simulation(std::uint64_t seed, std::size_t entry_count,
                                        std::size_t links_per_agent)
-    : links_per_agent(links_per_agent), generator(seed)
+    : links_per_agent(links_per_agent), generator(seed), caller_generator(seed)
 {
     for (std::size_t index = 0; index < entry_count; ++index)
     {
@@ -157,6 +173,11 @@
 {
     this->clock.advance(step_time);
     this->inject_faults();
+    if (this->callers_resubmit)
+    {
+        this->inject_caller_faults();
+        this->expire_requests();
+    }
     this->deliver_due();
     for (auto const& managed_target : this->targets)
     {
@@ -186,7 +207,7 @@
     }
     for (auto const& entry : this->entries)
     {
-        if (now >= entry->frozen_until)
+        if (!entry->has_crashed && now >= entry->frozen_until)
         {
             for (auto& event : std::exchange(entry->deferred_events, {}))
             {
@@ -231,8 +252,24 @@
     job.steps.push_back(
         {.count = tasks,
          .resources = {2'000 + static_cast<std::int64_t>(this->generator() % 2'500), 1, 0},
-         .estimate = this->random_duration(30, 400),
+         .estimate = this->random_duration(30, static_cast<int>(this->longest_run.count())),
          .after = {}});
+    this->submit(entry, std::move(job), 1);
+}
+
+void cluster_simulation::submit(entry_process& entry, job_request job, std::uint32_t attempts)
+{
+    if (this->callers_resubmit)
+    {
+        auto const key = job.key;
+        auto const deadline = this->clock.steady_now() + job.time_budget;
+        this->open_requests[key] = {job, &entry, deadline, attempts};
+        if (entry.has_crashed)
+        {
+            this->resubmit(key);
+            return;
+        }
+    }
     auto submitted = [&entry, job = std::move(job)] { entry.core->submit(job); };
     if (this->clock.steady_now() < entry.frozen_until)
     {
@@ -244,6 +281,136 @@
     }
 }
 
+void cluster_simulation::resubmit(std::string const& key)
+{
+    auto const found = this->open_requests.find(key);
+    auto job = std::move(found->second.job);
+    auto const attempts = found->second.attempts + 1;
+    this->open_requests.erase(found);
+    if (attempts > max_submissions)
+    {
+        return;
+    }
+    this->schedule(resubmission_delay,
+                   [this, job = std::move(job), attempts]
+                   {
+                       auto& entry =
+                           *this->entries[this->caller_generator() % this->entries.size()];
+                       ++this->resubmitted_jobs;
+                       this->resubmitted_keys.insert(job.key);
+                       this->outcomes.erase(job.key);
+                       this->submit(entry, job, attempts);
+                   });
+}
+
+void cluster_simulation::expire_requests()
+{
+    std::vector<std::string> expired;
+    for (auto const& [key, request] : this->open_requests)
+    {
+        if (this->clock.steady_now() > request.deadline)
+        {
+            expired.push_back(key);
+        }
+    }
+    for (auto const& key : expired)
+    {
+        this->disconnect_caller(key);
+    }
+}
+
+/// Injects about one fault each second.
+void cluster_simulation::inject_caller_faults()
+{
+    if (!std::bernoulli_distribution(0.005)(this->caller_generator))
+    {
+        return;
+    }
+    auto& entry = *this->entries[this->caller_generator() % this->entries.size()];
+    if (entry.has_crashed)
+    {
+        return;
+    }
+    if (std::bernoulli_distribution(0.5)(this->caller_generator))
+    {
+        this->crash_entry(entry);
+    }
+    else
+    {
+        this->reset_caller_connections(entry);
+    }
+}
+
+void cluster_simulation::crash_entry(entry_process& entry)
+{
+    entry.has_crashed = true;
+    entry.deferred_events.clear();
+    entry.abandoned_jobs.clear();
+    for (auto const& agent : this->agents)
+    {
+        agent->linked.erase(entry.name);
+    }
+    std::vector<std::string> keys;
+    for (auto const& [key, request] : this->open_requests)
+    {
+        if (request.entry == &entry)
+        {
+            keys.push_back(key);
+        }
+    }
+    for (auto const& key : keys)
+    {
+        this->resubmit(key);
+    }
+    auto const down_ms = std::uniform_int_distribution(50, 2'000)(this->caller_generator);
+    this->schedule(milliseconds(down_ms),
+                   [this, &entry]
+                   {
+                       entry.has_crashed = false;
+                       entry.frozen_until = {};
+                       ++entry.incarnation;
+                       entry.core =
+                           std::make_unique<job_dispatcher>(this->clock, dispatch_limits{});
+                   });
+}
+
+void cluster_simulation::reset_caller_connections(entry_process& entry)
+{
+    std::vector<std::string> keys;
+    for (auto const& [key, request] : this->open_requests)
+    {
+        if (request.entry == &entry)
+        {
+            keys.push_back(key);
+        }
+    }
+    for (auto const& key : keys)
+    {
+        this->disconnect_caller(key);
+    }
+}
+
+void cluster_simulation::disconnect_caller(std::string const& key)
+{
+    auto& entry = *this->open_requests.find(key)->second.entry;
+    this->resubmit(key);
+    entry.abandoned_jobs.insert(key);
+    auto cancelled = [this, &entry, key]
+    {
+        entry.core->cancel(key);
+        this->carry_out(entry);
+        entry.abandoned_jobs.erase(key);
+    };
+    if (this->clock.steady_now() < entry.frozen_until)
+    {
+        entry.deferred_events.emplace_back(cancelled);
+    }
+    else
+    {
+        cancelled();
+    }
+}
+
 /// Injects about one fault every half second; several overlap.
 void cluster_simulation::inject_faults()
 {
@@ -349,7 +516,7 @@
 bool cluster_simulation::can_connect(agent_process const& agent, entry_process const& entry) const
 {
     auto const now = this->clock.steady_now();
-    return now >= agent.frozen_until && now >= entry.frozen_until &&
+    return now >= agent.frozen_until && now >= entry.frozen_until && !entry.has_crashed &&
            !agent.partitioned_from.contains(entry.name);
 }
 
@@ -550,7 +717,7 @@
         }
         else if (auto const* const answer = std::get_if<answer_job>(&action))
         {
-            this->record_answer(*answer);
+            this->record_answer(from, *answer);
         }
     }
 }
@@ -724,8 +891,7 @@
         return;
     }
     managed_target.highest_token = sent.fencing_token;
-    managed_target.lease_until =
-        std::max(managed_target.lease_until, sent.lease_until_ms.value_or(0));
+    managed_target.extend_lease(sent.lease_until_ms.value_or(0), this->clock);
     std::erase_if(managed_target.finished,
                   [&](finished_run const& item) { return item.number <= sent.last_seen; });
     run_list list;
@@ -752,9 +918,11 @@
         return;
     }
     managed_target.highest_token = std::max(managed_target.highest_token, order.fencing_token);
-    managed_target.lease_until = std::max(managed_target.lease_until, order.lease_until_ms);
+    managed_target.extend_lease(order.lease_until_ms, this->clock);
     auto const time =
-        static_cast<double>(this->random_duration(30, 400).count()) / managed_target.speed;
+        static_cast<double>(
+            this->random_duration(30, static_cast<int>(this->longest_run.count())).count()) /
+        managed_target.speed;
     managed_target.runs[order.id.task] = {order.id.run, 3'000,
                                           this->clock.steady_now() +
                                               milliseconds(static_cast<std::int64_t>(time))};
@@ -767,7 +935,8 @@
     auto const job = job_of(order.id.task);
     this->started_jobs.insert(job);
     auto const outcome = this->outcomes.find(job);
-    if (outcome != this->outcomes.end() && outcome->second == job_outcome::not_run)
+    if (outcome != this->outcomes.end() && outcome->second == job_outcome::not_run &&
+        !this->resubmitted_keys.contains(job))
     {
         this->add_violation(order.id.task + " starts after its job was reported as not run");
     }
@@ -804,17 +973,33 @@
     }
 }
 
-void cluster_simulation::record_answer(answer_job const& answer)
+void cluster_simulation::record_answer(entry_process const& from, answer_job const& answer)
 {
-    if (!this->outcomes.emplace(answer.key, answer.outcome).second)
+    // An earlier submission of the job may have been started and is answered separately.
+    bool const is_resubmitted = this->resubmitted_keys.contains(answer.key);
+    if (!this->outcomes.emplace(answer.key, answer.outcome).second && !is_resubmitted)
     {
         this->add_violation(answer.key + " was answered twice");
     }
-    if (answer.outcome == job_outcome::not_run && this->started_jobs.contains(answer.key))
+    if (answer.outcome == job_outcome::not_run && !is_resubmitted &&
+        this->started_jobs.contains(answer.key))
     {
         this->add_violation(answer.key + " was reported as not run after a start");
     }
     this->completed_jobs += answer.outcome == job_outcome::completed ? 1 : 0;
+    auto const request = this->open_requests.find(answer.key);
+    if (!from.abandoned_jobs.contains(answer.key) && request != this->open_requests.end() &&
+        request->second.entry == &from)
+    {
+        if (answer.outcome == job_outcome::given_up)
+        {
+            this->resubmit(answer.key);
+        }
+        else
+        {
+            this->open_requests.erase(answer.key);
+        }
+    }
 }
 
 } // namespace filbertroad::dispatch
--- a/filbertroad/dispatch/cluster_simulation.hpp
+++ b/filbertroad/dispatch/cluster_simulation.hpp
@@ -37,6 +37,11 @@
     /// Whether a restarted target accepts orders that were sent to its earlier process, as happens
     /// when its id is reused.
     bool restarted_target_accepts_late_orders = false;
+    /// Whether entries crash, callers lose their connections, and callers send a job again, through
+    /// any entry, after a lost connection, no answer in time, or the outcome "given up".
+    bool callers_resubmit = false;
+    /// Longest run time on a target of speed 1.
+    milliseconds longest_run{400};
     ~cluster_simulation();
 
     void run(milliseconds time);
@@ -49,6 +54,7 @@
     /// Surplus links that were closed.
     [[nodiscard]] std::size_t released_links() const { return this->released_link_count; }
     [[nodiscard]] std::size_t submitted() const { return this->submitted_jobs; }
+    [[nodiscard]] std::size_t resubmitted() const { return this->resubmitted_jobs; }
 
 private:
     static constexpr std::size_t default_entries = 2;
@@ -65,8 +71,26 @@
     [[nodiscard]] bool random_chance(double probability);
     [[nodiscard]] milliseconds random_duration(int min_ms, int max_ms);
 
+    /// A job that its caller waits for.
+    struct open_request
+    {
+        job_request job;
+        entry_process* entry = nullptr;
+        base::steady_time deadline{};
+        std::uint32_t attempts = 1;
+    };
+
     void submit_jobs();
+    void submit(entry_process& entry, job_request job, std::uint32_t attempts);
     void inject_faults();
+    void inject_caller_faults();
+    void crash_entry(entry_process& entry);
+    void reset_caller_connections(entry_process& entry);
+    void expire_requests();
+    /// Closes the caller's connection; the entry cancels the job, and the caller sends it again.
+    void disconnect_caller(std::string const& key);
+    /// Sends the open request of the caller again after the caller's delay.
+    void resubmit(std::string const& key);
     void connect(agent_process& agent, entry_process& entry);
     void connect_missing_links();
     /// Tells the agent's entry_selection which of its links were lost.
@@ -90,12 +114,14 @@
     void begin(target& managed_target, start_run const& order);
     void advance(target& managed_target);
     void check_capacity(target const& managed_target);
-    void record_answer(answer_job const& answer);
+    void record_answer(entry_process const& from, answer_job const& answer);
     void add_violation(std::string text) { this->violation_texts.push_back(std::move(text)); }
 
     std::size_t links_per_agent;
     base::manual_clock clock;
     std::mt19937_64 generator;
+    /// Draws the faults of callers, so that seeds give the same faults without them.
+    std::mt19937_64 caller_generator;
     std::multimap<base::steady_time, std::function<void()>> events;
     /// Delivery time of the last message, by link and direction.
     std::map<std::string, base::steady_time> last_delivery;
@@ -106,7 +132,10 @@
     std::map<std::string, std::set<target const*>> running;
     std::set<std::string> started_jobs;
     std::map<std::string, job_outcome> outcomes;
+    std::map<std::string, open_request> open_requests;
+    std::set<std::string> resubmitted_keys;
     std::size_t submitted_jobs = 0;
+    std::size_t resubmitted_jobs = 0;
     std::size_t completed_jobs = 0;
     std::size_t released_link_count = 0;
     std::vector<std::string> violation_texts;
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -44,6 +44,8 @@
     /// Duration of the lease of the target's runs. It is short, because a run on the target of a
     /// frozen agent only ends when its lease expires. It covers two lost renewals.
     milliseconds target_lease{600};
+    /// Longest lease that a target grants, whatever an order asks for.
+    milliseconds longest_target_lease{1'000};
     /// Time after which an unanswered poll that verifies a start is sent again, and time after
     /// which an unanswered stop is sent again.
     milliseconds order_timeout{60};
@@ -263,6 +265,10 @@
     /// Returns the end of a lease that begins now, on the target's clock, and extends
     /// `leases_expire_at` to cover it.
     std::uint64_t grant_lease();
+    /// Accounts for a lease that an order to the target's earlier process may have given the
+    /// present one: that order names a time on the clock of the earlier process. `token` is that of
+    /// an order that the target has answered.
+    void cover_lease_of_earlier_orders(std::uint64_t token);
     void enqueue(std::string_view entry, start_order order);
     void start_queued();
     void start(entry_run& run);
@@ -301,6 +307,9 @@
     base::steady_time target_clock_at{};
     /// Time on this agent's clock at which every lease granted so far has expired on the target's.
     base::steady_time leases_expire_at{};
+    /// Set from a restart of the target until it has answered an order with this token or a higher
+    /// one. It refuses orders to its earlier process from then on.
+    std::optional<std::uint64_t> token_after_restart;
     /// The target runs tasks that this agent did not start; their resources are unknown.
     bool has_unknown_runs = false;
     std::uint64_t last_seen = 0;
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -32,6 +32,7 @@
     {
         run->is_start_confirmed = true;
         run->start_answered = this->clock.steady_now();
+        this->cover_lease_of_earlier_orders(run->fencing_token);
         if (run->state == run_state::starting)
         {
             this->runs.change(*run, run_state::running);
@@ -152,6 +153,23 @@
     return until;
 }
 
+void run_agent::cover_lease_of_earlier_orders(std::uint64_t token)
+{
+    if (!this->token_after_restart)
+    {
+        return;
+    }
+    auto const longest = static_cast<double>(this->limits.longest_target_lease.count()) /
+                         this->limits.min_clock_rate;
+    this->leases_expire_at =
+        std::max(this->leases_expire_at,
+                 this->clock.steady_now() + milliseconds(static_cast<std::int64_t>(longest) + 1));
+    if (token >= *this->token_after_restart)
+    {
+        this->token_after_restart.reset();
+    }
+}
+
 bool run_agent::is_reachable() const
 {
     return this->listed_incarnation != 0 &&
@@ -190,6 +208,7 @@
     }
     this->target_clock_ms = list.clock_ms;
     this->target_clock_at = this->clock.steady_now();
+    this->cover_lease_of_earlier_orders(sent.fencing_token);
     this->reconcile_with_list(sent, list);
     this->stop_unknown_runs(list);
     if (!this->recovered && !this->has_unknown_runs)
@@ -239,6 +258,7 @@
     // Orders to the earlier process that are still in flight must not take effect on the new
     // process, which does not know the numbers of runs that ended.
     this->raise_fencing_token(this->fencing_token, fencing_step);
+    this->token_after_restart = this->fencing_token;
 }
 
 void run_agent::handle_finished_run(finished_run const& finish)
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -426,6 +426,29 @@
     EXPECT_FALSE(this->last_lease.has_value());
 }
 
+// Guards against two runs of a task: a renewal to the earlier process of a restarted target names a
+// time on that process's clock, and gives the new process the longest lease that it grants.
+TEST_F(run_agent_test, lease_from_an_order_to_the_earlier_process_is_waited_for)
+{
+    this->connect("e");
+    this->clock.advance(milliseconds(300));
+    this->renew();
+    auto const sent = this->agent.make_renewal();
+    ++this->incarnation;
+    auto list = this->list();
+    list.clock_ms = 10;
+    this->announce();
+    this->heartbeat("e");
+    this->agent.renewal_answered(sent, list);
+    this->order("e", "a", 3'000);
+    ASSERT_EQ(this->running(), tasks{"a"});
+    this->advance_time(milliseconds(975), {"e"}, false);
+    EXPECT_EQ(this->report("a"), nullptr);
+    this->advance_time(milliseconds(100), {"e"}, false);
+    ASSERT_NE(this->report("a"), nullptr);
+    EXPECT_EQ(this->report("a")->end, run_end::lost);
+}
+
 TEST_F(run_agent_test, runs_of_an_unreachable_target_are_lost_when_its_lease_expires)
 {
     this->connect("e");
