Count the target's clock at its slowest between two contacts

An agent extrapolates the target's clock at full rate for up to 400 ms since the last answer. On a clock that is 2 % slow the lease of 600 ms then lasts (600 + 400) / 0.98 - 400 = 620.4 ms, not 612, and a run may last 1,570.4 ms after the entry's last message. The entry started the task elsewhere after 1,565 ms.

--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -44,8 +44,9 @@
     milliseconds entry_lease{600};
     /// Time without a message from an agent after which its runs have ended. Sum of the following
     /// values of `agent_limits`: the entry lease, the stop confirmation timeout, and a target lease
-    /// on the slowest clock; and 50 ms for the end of a run.
-    milliseconds runs_expire_after{1'565};
+    /// that is counted from the last contact, all on the slowest clock; and 50 ms for the end of a
+    /// run.
+    milliseconds runs_expire_after{1'575};
     /// Share of the latency objective for which a job may wait for a target that accepts starts.
     double placement_timeout_factor = 0.25;
     /// A target counts as fast enough if the run is expected to end this long before the latency
