Return a queued run at once when it exceeds a shrunken capacity

Callers saw jobs wait in an agent's queue until the queue timeout although the target had free resources. start_queued() stops at the first run that does not fit the free resources, so that smaller runs cannot starve it. A run larger than the whole capacity, which may shrink while runs are queued, never fits: it blocked every run behind it, and was not placed on another target meanwhile. The same held for a start sent before the entry knew of the smaller capacity, and for one that the target refused because of it.

Before: run_agent_test.cpp:90, 102, 117 and 151, report("large") and report("task") are NULL. Now start_queued() ends such a run as not started, before it considers the free resources. The status with the new capacity is in the same frame as the report, and the entry applies the status first, so it places the task elsewhere.

--- a/filbertroad/dispatch/agent_fixture.hpp
+++ b/filbertroad/dispatch/agent_fixture.hpp
@@ -34,10 +34,16 @@
     {
         ++this->sequence;
         this->agent.target_announced(
-            {"target", this->incarnation, "service", {9'000, 1'000, 0}, draining, this->sequence});
+            {"target", this->incarnation, "service", this->capacity, draining, this->sequence});
         this->collect();
     }
 
+    void announce_capacity(model::resources const& announced)
+    {
+        this->capacity = announced;
+        this->announce();
+    }
+
     void connect(std::string const& entry, std::uint64_t entry_incarnation = 1)
     {
         this->agent.entry_connected({entry, entry_incarnation});
@@ -158,6 +164,7 @@
     run_agent agent{this->clock, "zone-1", {}, 1};
     std::uint64_t incarnation = 1;
     std::uint64_t sequence = 0;
+    model::resources capacity{9'000, 1'000, 0};
     /// Run number of each run on the target, by task.
     std::map<std::string, std::uint32_t> on_target;
     std::vector<finished_run> finished;
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -317,6 +317,12 @@
     for (auto const& task : this->runs.queued())
     {
         auto& run = *this->runs.find(task);
+        // The capacity may have shrunk since the run was sent here. It can still run elsewhere.
+        if (!this->target->capacity.can_fit(run.order.resources))
+        {
+            this->end_run(task, run_end::not_started, "exceeds the capacity");
+            continue;
+        }
         if (!this->has_entry_lease(run.entry))
         {
             continue;
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -35,6 +35,131 @@
     EXPECT_EQ(this->running(), (tasks{"b", "c", "d"}));
 }
 
+// Guards against starts on a target whose capacity has shrunk below the resources in use, and
+// against a target that stays idle after its capacity has grown again.
+TEST_F(run_agent_test, runs_never_exceed_a_capacity_that_shrinks_and_grows)
+{
+    this->connect("e");
+    for (auto const* const task : {"a", "b", "c", "d", "f", "g"})
+    {
+        this->order("e", task, 3'000);
+    }
+    this->announce_capacity({5'000, 1'000, 0});
+    EXPECT_EQ(this->agent.make_status("e").free.cpu, -4'000);
+    EXPECT_TRUE(this->stops.empty()) << "running work is not lost";
+    this->finish("a");
+    this->renew();
+    this->finish("b");
+    this->renew();
+    EXPECT_EQ(this->running(), tasks{"c"}) << "a second run would exceed the capacity";
+    this->finish("c");
+    this->renew();
+    EXPECT_EQ(this->running(), tasks{"d"});
+    this->announce_capacity({9'000, 1'000, 0});
+    EXPECT_EQ(this->running(), (tasks{"d", "f", "g"}));
+}
+
+// Guards against a stopped run whose resources are given to another one after the capacity has
+// shrunk.
+TEST_F(run_agent_test, stopping_run_counts_against_a_shrunken_capacity)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->order("e", "b", 6'000);
+    this->order("e", "c", 3'000);
+    this->answers_stops = false;
+    this->announce_capacity({6'000, 1'000, 0});
+    this->agent.cancel_ordered("e", {"b", 1});
+    this->collect();
+    this->advance_time(milliseconds(200), {"e"});
+    EXPECT_EQ(this->running(), (tasks{"a", "b"}));
+    this->finish("b", finish_reason::stopped);
+    this->renew();
+    EXPECT_EQ(this->running(), (tasks{"a", "c"}));
+}
+
+// Guards against a run that can no longer start and blocks every smaller one behind it until its
+// queue timeout.
+TEST_F(run_agent_test, queued_run_beyond_a_shrunken_capacity_is_returned_at_once)
+{
+    this->connect("e");
+    this->order("e", "running", 3'000);
+    this->order("e", "large", 9'000);
+    this->order("e", "small", 2'000);
+    this->announce_capacity({5'000, 1'000, 0});
+    ASSERT_NE(this->report("large"), nullptr);
+    EXPECT_EQ(this->report("large")->end, run_end::not_started);
+    EXPECT_EQ(this->running(), (tasks{"running", "small"}));
+}
+
+// Guards against a start sent before the entry knew of the smaller capacity: it blocked the queue.
+TEST_F(run_agent_test, start_beyond_the_capacity_is_returned_at_once)
+{
+    this->connect("e");
+    this->order("e", "running", 5'000);
+    this->announce_capacity({5'000, 1'000, 0});
+    this->order("e", "large", 6'000);
+    ASSERT_NE(this->report("large"), nullptr);
+    EXPECT_EQ(this->report("large")->end, run_end::not_started);
+}
+
+// Guards against a run that the target refuses because its capacity has shrunk and that then blocks
+// the queue.
+TEST_F(run_agent_test, refused_run_beyond_a_shrunken_capacity_is_returned)
+{
+    this->connect("e");
+    this->answers_starts = false;
+    this->order("e", "large", 9'000);
+    this->announce_capacity({5'000, 1'000, 0});
+    this->agent.start_answered({"large", 1}, start_answer::insufficient_resources);
+    this->agent.tick();
+    this->collect();
+    ASSERT_NE(this->report("large"), nullptr);
+    EXPECT_EQ(this->report("large")->end, run_end::not_started);
+}
+
+// Guards against starts by an earlier, larger capacity that arrives late or twice.
+TEST_F(run_agent_test, delayed_announcement_does_not_restore_an_earlier_capacity)
+{
+    this->connect("e");
+    auto const earlier = this->sequence;
+    this->announce_capacity({5'000, 1'000, 0});
+    for (auto const late : {earlier, this->sequence})
+    {
+        this->agent.target_announced(
+            {"target", this->incarnation, "service", {9'000, 1'000, 0}, false, late});
+        EXPECT_EQ(this->agent.make_status("e").capacity.cpu, 5'000);
+    }
+}
+
+// Guards against a dimension that is not checked: the target has processor time but no memory or
+// no accelerators left.
+TEST_F(run_agent_test, nothing_starts_on_a_capacity_of_zero_in_one_dimension)
+{
+    this->connect("e");
+    for (auto const& shrunken : {model::resources{}, model::resources{0, 1'000, 1},
+                                 model::resources{9'000, 0, 1}, model::resources{9'000, 1'000, 0}})
+    {
+        this->announce_capacity(shrunken);
+        this->reports.clear();
+        auto order = make_order("task", 3'000);
+        order.id.run = static_cast<std::uint32_t>(this->sequence);
+        order.resources.accelerators = 1;
+        this->agent.start_ordered("e", order);
+        this->collect();
+        EXPECT_TRUE(this->running().empty());
+        ASSERT_NE(this->report("task"), nullptr);
+        EXPECT_EQ(this->report("task")->end, run_end::not_started);
+        for (double const share : this->agent.make_status("e").class_load)
+        {
+            EXPECT_TRUE(share >= 0 && share <= 1);
+        }
+    }
+    this->announce_capacity({9'000, 1'000, 0});
+    this->order("e", "plain", 3'000);
+    EXPECT_EQ(this->running(), tasks{"plain"});
+}
+
 // Guards against a start that waits behind runs of which its entry did not know.
 TEST_F(run_agent_test, start_without_queue_timeout_is_returned_at_once_if_the_target_is_full)
 {
