Count the runs beyond a shrunken capacity in the expected wait

An entry queued tasks at a target whose capacity had shrunk below the resources in use, because it expected a start after the end of one run there: with 30 cores in use and a capacity of 15, 40 ms instead of 120 ms (agent_view_test.cpp:94 before). expected_wait() now counts the cores in use beyond the capacity as cores that must become free first, and takes the rate at which they do from the cores in use. The wait on a target within its capacity is as before.

Further tests pass before and after: negative free resources are signed on the wire; a target without capacity gives a finite, positive wait; a task returned by a shrunken target is placed elsewhere, or starts when the target grows again within a quarter of the objective, or its job is refused as not run.

--- a/filbertroad/dispatch/agent_view_test.cpp
+++ b/filbertroad/dispatch/agent_view_test.cpp
@@ -79,5 +79,39 @@
     EXPECT_EQ(view.expected_wait(task, 0), milliseconds(0));
 }
 
+// Guards against placing work on a target whose capacity has shrunk below the resources in use:
+// its free resources are negative.
+TEST(agent_view_test, target_over_its_capacity_is_not_free)
+{
+    agent_view view;
+    view.connect(1, {});
+    auto status = full_target();
+    status.capacity = {15'000, 10'000, 0};
+    status.free = {-15'000, -10, -1};
+    status.running_work = 30 * 100;
+    view.update_status(status, {});
+    // At least half of the runs must end before one can start.
+    EXPECT_GE(view.expected_wait(task, 0), milliseconds(100));
+    EXPECT_EQ(view.spare_starts(task), 1);
+    EXPECT_GT(view.expected_wait({0, 0, 0}, 0), milliseconds(0));
+}
+
+// Guards against a division by zero and negative waits.
+TEST(agent_view_test, wait_on_a_target_without_capacity_is_finite)
+{
+    agent_view view;
+    view.connect(1, {});
+    auto status = full_target();
+    status.capacity = {};
+    status.free = {-30'000, -100, 0};
+    view.update_status(status, {});
+    for (auto const& resources : {task, model::resources{}})
+    {
+        EXPECT_GT(view.expected_wait(resources, 0), milliseconds(0));
+        EXPECT_LT(view.expected_wait(resources, 2), milliseconds(100'000'000));
+        EXPECT_GE(view.spare_starts(resources), 1);
+    }
+}
+
 } // namespace
 } // namespace filbertroad::dispatch::internal
--- a/filbertroad/dispatch/internal/agent_view.cpp
+++ b/filbertroad/dispatch/internal/agent_view.cpp
@@ -113,8 +113,12 @@
     auto const used_cores = static_cast<double>(this->last_status.capacity.cpu - free.cpu) / 1000;
     auto const mean_remaining = used_cores > 0 ? running / used_cores : 0;
     // If the remaining times of N runs are evenly distributed around their mean, the first run ends
-    // after 2 / N of the mean.
-    auto const first_end = 2 * mean_remaining * static_cast<double>(resources.cpu) / 1000;
+    // after 2 / N of the mean. On a target whose capacity has shrunk below the resources in use,
+    // the runs beyond its capacity must end before.
+    auto const excess_cores = static_cast<double>(std::max<std::int64_t>(-free.cpu, 0)) / 1000;
+    auto const needed_cores = static_cast<double>(resources.cpu) / 1000 + excess_cores;
+    auto const first_end =
+        2 * mean_remaining * needed_cores * (cores / std::max(cores, used_cores));
     // Work of higher priority that arrives during the wait starts first, as in a priority queue.
     // The wait is therefore the wait for the work present, divided by the share of the cores that
     // the higher-priority classes leave.
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -91,6 +91,55 @@
     EXPECT_TRUE(this->answer("j")->retry_after.has_value());
 }
 
+// Guards against a refusal while the target that fits is only unavailable for a moment.
+TEST_F(job_dispatcher_test, job_that_fits_a_target_that_is_not_accepting_waits_for_it)
+{
+    this->add_agent("a", 9'000);
+    this->add_agent("b", 2'000);
+    auto closed = make_status(9'000);
+    closed.accepting = false;
+    this->report("a", closed);
+    this->submit(make_job("j", 1));
+    EXPECT_EQ(this->outcome("j"), std::nullopt);
+    this->report("a", make_status(9'000));
+    EXPECT_EQ(this->starts_at("a").size(), 1U);
+}
+
+// Guards against a task that stays with a target whose capacity has shrunk below it.
+TEST_F(job_dispatcher_test, task_returned_by_a_shrunken_target_moves_to_another_one)
+{
+    this->add_agent("a", 9'000, 2);
+    this->add_agent("b", 9'000);
+    this->submit(make_job("j", 1));
+    auto const sent = this->starts_at("a");
+    ASSERT_EQ(sent.size(), 1U);
+    this->report("a", make_status(2'000, 2));
+    this->end(sent[0], "a", run_end::not_started);
+    EXPECT_EQ(this->starts_at("b").size(), 1U);
+}
+
+// Guards against a job that nobody answers after the capacity of its only target has shrunk, and
+// against one that is given up although the capacity grows again.
+TEST_F(job_dispatcher_test, task_of_a_shrunken_only_target_waits_briefly_and_starts_if_it_grows)
+{
+    this->add_agent("a", 9'000);
+    for (bool const grows : {true, false})
+    {
+        this->report("a", make_status(9'000));
+        auto const* const key = grows ? "grows" : "stays";
+        this->submit(make_job(key, 1));
+        auto const sent = this->starts_at("a");
+        ASSERT_EQ(sent.size(), 1U);
+        this->report("a", make_status(2'000));
+        this->end(sent[0], "a", run_end::not_started);
+        EXPECT_TRUE(this->starts_at("a").empty());
+        this->report("a", make_status(grows ? 9'000 : 2'000));
+        this->advance_time(milliseconds(125));
+        EXPECT_EQ(this->starts_at("a").size(), grows ? 1U : 0U);
+        EXPECT_EQ(this->outcome(key), grows ? std::nullopt : std::optional(job_outcome::not_run));
+    }
+}
+
 // Guards against two concurrent runs of a task: the run on the target of an unresponsive agent may
 // continue until the entry's lease and the target's lease have expired.
 TEST_F(job_dispatcher_test, task_of_an_unresponsive_agent_restarts_only_after_its_leases_expire)
--- a/filbertroad/node/frame_test.cpp
+++ b/filbertroad/node/frame_test.cpp
@@ -72,5 +72,20 @@
     EXPECT_EQ(old_receiver->status->service, "service");
 }
 
+// Guards against free resources that are read as a huge number when they are negative, as on a
+// target whose capacity has shrunk.
+TEST(frame_test, negative_free_resources_round_trip)
+{
+    frame content;
+    content.status = dispatch::target_status{};
+    content.status->capacity = {0, 64'000, 0};
+    content.status->free = {-4'000, -10, -1};
+    content.has_status_details = true;
+    auto const decoded = decode_frame(encode_frame(content, protocol_version));
+    ASSERT_TRUE(decoded && decoded->status);
+    EXPECT_EQ(decoded->status->free, content.status->free);
+    EXPECT_EQ(decoded->status->capacity, content.status->capacity);
+}
+
 } // namespace
 } // namespace filbertroad::node
