Refuse a job at once when a task exceeds every target's capacity

Callers waited a quarter of the job's objective for the refusal of a job that no target could run, also after the last target that fitted had shrunk. If only a later step did not fit, the first steps ran in vain, and the caller got an answer when its time was over. admit() looked for a target only for tasks that can start, and took a missing one as unavailable for a moment.

Before: job_dispatcher_test.cpp:101 and 108, no outcome; 109, a start was sent. submit() now refuses such a job. Targets that take no starts now, or whose agent is not connected, count with their last known capacity, so that a target that is only away for a moment is waited for as before; so are all for the first second of an entry, until it is linked to its agents. A job that was admitted before the capacity shrank is treated as before.

--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -50,7 +50,7 @@
 }
 
 job_dispatcher::job_dispatcher(base::clock const& clock, dispatch_limits limits)
-    : clock(clock), limits(limits)
+    : clock(clock), limits(limits), started(clock.steady_now())
 {
 }
 
@@ -106,6 +106,10 @@
     {
         this->finish(added, job_outcome::not_run, "too many jobs");
     }
+    else if (this->exceeds_every_target(added))
+    {
+        this->finish(added, job_outcome::not_run, "no target has the capacity");
+    }
     else
     {
         this->unblock_tasks(added);
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -48,6 +48,9 @@
     milliseconds runs_expire_after{1'565};
     /// Share of the latency objective for which a job may wait for a target that accepts starts.
     double placement_timeout_factor = 0.25;
+    /// Time from the start of the entry until it is linked to its agents. Until then a job that
+    /// fits no known target waits for others.
+    milliseconds agent_discovery_time{1'000};
     /// A target counts as fast enough if the run is expected to end this long before the latency
     /// objective. The margin covers the transfer of the request and the answer. It contains no
     /// share of the run time, because an estimate that is off by 40 % changes the run time and the
@@ -245,6 +248,9 @@
     [[nodiscard]] bool is_too_late(job const& parent_job, placement const& chosen,
                                    base::steady_time now) const;
     [[nodiscard]] bool are_most_agents_ejected(base::steady_time now) const;
+    /// Whether a task of the job exceeds the capacity of every known target, so that the job cannot
+    /// complete.
+    [[nodiscard]] bool exceeds_every_target(job const& parent_job) const;
     void unblock_tasks(job& parent_job);
     void place_waiting_tasks(job& parent_job);
     /// Adds the task to the in-flight load of the chosen agent.
@@ -271,6 +277,7 @@
 
     base::clock const& clock;
     dispatch_limits limits;
+    base::steady_time started;
     std::map<std::string, internal::agent_view, std::less<>> agents;
     std::map<std::string, std::unique_ptr<job>, std::less<>> jobs;
     std::unordered_map<std::string, task_location> tasks;
--- a/filbertroad/dispatch/job_dispatcher_placement.cpp
+++ b/filbertroad/dispatch/job_dispatcher_placement.cpp
@@ -130,6 +130,32 @@
     return *chosen;
 }
 
+bool job_dispatcher::exceeds_every_target(job const& parent_job) const
+{
+    if (this->clock.steady_now() - this->started < this->limits.agent_discovery_time)
+    {
+        return false;
+    }
+    // A target that takes no starts now, or whose agent is not connected, counts with its last
+    // known capacity: it may be back in time.
+    auto const is_of_service = [&](auto const& item)
+    { return item.second.status().service == parent_job.request.service; };
+    if (std::none_of(this->agents.begin(), this->agents.end(), is_of_service))
+    {
+        return false;
+    }
+    return std::any_of(parent_job.request.steps.begin(), parent_job.request.steps.end(),
+                       [&](job_step const& step)
+                       {
+                           return std::none_of(this->agents.begin(), this->agents.end(),
+                                               [&](auto const& item) {
+                                                   return is_of_service(item) &&
+                                                          item.second.status().capacity.can_fit(
+                                                              step.resources);
+                                               });
+                       });
+}
+
 void job_dispatcher::unblock_tasks(job& parent_job)
 {
     auto const is_done = [&](std::uint32_t step)
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -91,11 +91,41 @@
     EXPECT_TRUE(this->answer("j")->retry_after.has_value());
 }
 
+// Guards against a job that waits for a target although none could ever run one of its tasks.
+TEST_F(job_dispatcher_test, job_with_a_task_beyond_the_capacity_of_every_target_is_refused_at_once)
+{
+    this->add_agent("a", 9'000);
+    this->add_agent("b", 2'000);
+    this->advance_time(dispatch_limits{}.agent_discovery_time);
+    this->report("a", make_status(2'000));
+    this->submit(make_job("one-step", 1));
+    EXPECT_EQ(this->outcome("one-step"), job_outcome::not_run);
+    auto later_step = make_job("later-step", 1);
+    later_step.steps[0].resources = {1'000, 64, 0};
+    later_step.steps.push_back(later_step.steps[0]);
+    later_step.steps[1].resources.cpu = task_cpu;
+    later_step.steps[1].after = {0};
+    this->submit(later_step);
+    EXPECT_EQ(this->outcome("later-step"), job_outcome::not_run);
+    EXPECT_TRUE(this->starts_at("a").empty() && this->starts_at("b").empty());
+}
+
+// Guards against a refusal by an entry that has just started and does not know all targets yet.
+TEST_F(job_dispatcher_test, job_beyond_the_first_targets_waits_while_an_entry_starts)
+{
+    this->add_agent("small", 2'000);
+    this->submit(make_job("j", 1));
+    EXPECT_EQ(this->outcome("j"), std::nullopt);
+    this->add_agent("large", 9'000);
+    EXPECT_EQ(this->starts_at("large").size(), 1U);
+}
+
 // Guards against a refusal while the target that fits is only unavailable for a moment.
 TEST_F(job_dispatcher_test, job_that_fits_a_target_that_is_not_accepting_waits_for_it)
 {
     this->add_agent("a", 9'000);
     this->add_agent("b", 2'000);
+    this->advance_time(dispatch_limits{}.agent_discovery_time);
     auto closed = make_status(9'000);
     closed.accepting = false;
     this->report("a", closed);
@@ -123,6 +153,7 @@
 TEST_F(job_dispatcher_test, task_of_a_shrunken_only_target_waits_briefly_and_starts_if_it_grows)
 {
     this->add_agent("a", 9'000);
+    this->advance_time(dispatch_limits{}.agent_discovery_time);
     for (bool const grows : {true, false})
     {
         this->report("a", make_status(9'000));
