End jobs whose tasks take down one target after another

What callers see: a job with a task that crashes its targets is shown as failed after two runs of the task were lost with their target. Before, the task was started until the caller's time budget was used up, and each start took a target and the runs beside it away for seconds.

Cause: a run that is lost counted against nothing; only runs reported as failed did. The report of an agent did not say why a run was lost.

Fix: run_report::target_lost, which the agent sets where the target's lease ran out while the target was silent, and where a new process of the target does not list the run. It is not set for a run that was stopped while the target still answered, for a lease withheld because of an unconfirmed stop, after a pause of the agent of more than contact_timeout, or for a target that was draining or removed. The wire has it as a new field of run_outcome_report; reports without it (earlier versions) count as lost for an unknown cause. The entry ends the job as failed after max_target_losses (2).

An agent that is killed with its target hides the crash ("agent restarted", or "agent silent"). Five losses of a task that the entry had not cancelled (max_losses) end the job as given up, so that at most two starts follow three hidden crashes. It is not failed then: no crash was seen, and the caller may submit the job again.

--- a/filbertroad/dispatch/dispatcher_fixture.hpp
+++ b/filbertroad/dispatch/dispatcher_fixture.hpp
@@ -87,6 +87,17 @@
         return job;
     }
 
+    /// A job of one task that may run again many times: neither its attempts nor its time budget
+    /// are used up.
+    static job_request make_patient_job(std::string const& key)
+    {
+        auto job = make_job(key, 1);
+        job.max_attempts = 20;
+        job.target_latency = milliseconds(60'000);
+        job.time_budget = milliseconds(60'000);
+        return job;
+    }
+
     void submit(job_request job)
     {
         this->dispatcher.submit(std::move(job));
@@ -99,6 +110,16 @@
         this->collect();
     }
 
+    void end_lost(start_order const& order, std::string const& agent, bool target_lost)
+    {
+        this->dispatcher.run_ended(agent, {.id = order.id,
+                                           .end = run_end::lost,
+                                           .reason = "",
+                                           .elapsed = milliseconds(100),
+                                           .target_lost = target_lost});
+        this->collect();
+    }
+
     /// Advances the clock in steps of 25 ms, with a tick in each. If `agents_report`, all agents
     /// repeat their last report in each step.
     void advance_time(milliseconds time, bool agents_report = true)
--- a/filbertroad/dispatch/internal/dispatch_job.hpp
+++ b/filbertroad/dispatch/internal/dispatch_job.hpp
@@ -33,6 +33,10 @@
     task_state state = task_state::blocked;
     std::uint32_t run = 0;
     std::uint32_t failures = 0;
+    /// Lost runs that the entry had not cancelled, or that were lost with their target.
+    std::uint32_t losses = 0;
+    /// Runs lost with their target.
+    std::uint32_t target_losses = 0;
     std::string agent;
     start_order order;
     base::steady_time sent{};
--- a/filbertroad/dispatch/internal/run_table.hpp
+++ b/filbertroad/dispatch/internal/run_table.hpp
@@ -54,6 +54,8 @@
     bool is_stop_answered = false;
     base::steady_time stop_answered{};
     std::string stop_reason;
+    /// Whether the target crashed or became silent while it executed the run, or may have.
+    bool is_target_lost = false;
 };
 
 class run_table
--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -243,11 +243,33 @@
             view.record_failure(this->clock.steady_now());
         }
         item.returns += report.end == run_end::not_started ? 1 : 0;
+        if (report.end == run_end::lost)
+        {
+            this->count_loss(parent_job, item, report);
+            if (parent_job.is_ended)
+            {
+                return;
+            }
+        }
         break;
     }
     this->place_waiting_tasks(parent_job);
 }
 
+void job_dispatcher::count_loss(job& parent_job, task& item, run_report const& report)
+{
+    item.target_losses += report.target_lost ? 1 : 0;
+    item.losses += report.target_lost || !item.is_cancel_sent ? 1 : 0;
+    if (item.target_losses >= this->limits.max_target_losses)
+    {
+        this->finish(parent_job, job_outcome::failed, "a task was lost with its target too often");
+    }
+    else if (item.losses >= this->limits.max_losses)
+    {
+        this->finish(parent_job, job_outcome::given_up, "a task was lost too often");
+    }
+}
+
 void job_dispatcher::raise_estimate(task& item, milliseconds work)
 {
     // At most doubled, because a run on a stalled target also takes long.
@@ -263,8 +285,9 @@
         {
             if (item.state == task_state::sent && item.agent == agent)
             {
-                reports.push_back(
-                    {{item.name, item.run}, run_end::lost, std::string(reason), {}, {}});
+                reports.push_back({.id = {item.name, item.run},
+                                   .end = run_end::lost,
+                                   .reason = std::string(reason)});
             }
         }
     }
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -73,6 +73,12 @@
     /// placed again with the load that the agent reports with it. After so many returns the task
     /// waits in the agent's queue instead.
     std::uint32_t max_returns = 3;
+    /// A job fails when so many runs of one of its tasks were lost with their target. The task may
+    /// be what crashes the targets, and would crash more of them.
+    std::uint32_t max_target_losses = 2;
+    /// A job is given up when so many runs of one of its tasks were lost, whatever the cause,
+    /// except by cancellation. A crash of the target is hidden if the agent ends at the same time.
+    std::uint32_t max_losses = 5;
     /// Time after which a caller may retry a refused job.
     std::chrono::seconds retry_after{1};
 };
@@ -106,7 +112,8 @@
 enum class job_outcome
 {
     completed,
-    /// A task failed in `max_attempts` runs.
+    /// A task failed in `max_attempts` runs, or was lost with its target
+    /// `dispatch_limits::max_target_losses` times.
     failed,
     /// A task has run or may have run, and the job cannot be completed in time.
     given_up,
@@ -263,6 +270,8 @@
     void check_task(job& parent_job, task& item);
     void handle_run_end(job& parent_job, task& item, std::string_view agent,
                         run_report const& report);
+    /// Counts a lost run, and ends the job if the task has had too many.
+    void count_loss(job& parent_job, task& item, run_report const& report);
     /// Raises the estimate of a task whose run was cancelled as stalled. `work` is the run time
     /// until then, at speed 1. With an unchanged estimate every further run would be cancelled at
     /// the same point.
--- a/filbertroad/dispatch/job_dispatcher_checks.cpp
+++ b/filbertroad/dispatch/job_dispatcher_checks.cpp
@@ -71,8 +71,9 @@
     auto const time_since_contact = now - view.last_contact();
     if (time_since_contact > this->limits.runs_expire_after)
     {
-        this->handle_run_end(parent_job, item, item.agent,
-                             {{item.name, item.run}, run_end::lost, "agent silent", {}, {}});
+        this->handle_run_end(
+            parent_job, item, item.agent,
+            {.id = {item.name, item.run}, .end = run_end::lost, .reason = "agent silent"});
         return;
     }
     if (time_since_contact > this->limits.entry_lease)
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -160,6 +160,90 @@
     EXPECT_EQ(this->outcome("j"), std::nullopt);
 }
 
+// Guards against a task that crashes one target after another: its runs end as lost, which counted
+// against no limit, so that it was started again until the caller's time budget was used up.
+TEST_F(job_dispatcher_test, task_that_takes_its_targets_down_is_not_started_again_after_two_losses)
+{
+    this->add_agent("a", 9'000);
+    this->submit(make_patient_job("j"));
+    std::uint32_t starts = 0;
+    for (auto sent = this->starts_at("a"); !sent.empty() && starts < 20;
+         sent = this->starts_at("a"))
+    {
+        ++starts;
+        this->end_lost(sent[0], "a", true);
+        this->advance_time(milliseconds(100));
+    }
+    EXPECT_EQ(starts, 2U);
+    ASSERT_EQ(this->outcome("j"), job_outcome::failed);
+    EXPECT_EQ(this->answer("j")->reason, "a task was lost with its target too often");
+}
+
+// Guards against the outcome "failed" for a job whose runs were lost with an agent or an entry's
+// lease, or never started: the caller would treat it as final, although no target crashed.
+TEST_F(job_dispatcher_test, losses_without_a_lost_target_do_not_fail_the_job)
+{
+    this->add_agent("a", 9'000);
+    this->submit(make_patient_job("silent"));
+    this->submit(make_patient_job("restarted"));
+    this->submit(make_patient_job("returned"));
+    auto sent = this->starts_at("a");
+    ASSERT_EQ(sent.size(), 3U);
+    this->end_lost(sent[0], "a", false);
+    this->end(sent[2], "a", run_end::not_started);
+    this->dispatcher.agent_connected({"a", 2});
+    this->report("a", make_status(9'000));
+    sent = this->starts_at("a");
+    ASSERT_EQ(sent.size(), 5U);
+    this->dispatcher.agent_connected({"a", 3});
+    this->report("a", make_status(9'000));
+    EXPECT_EQ(this->starts_at("a").size(), 3U);
+    EXPECT_EQ(this->outcome("silent"), std::nullopt);
+    EXPECT_EQ(this->outcome("restarted"), std::nullopt);
+    EXPECT_EQ(this->outcome("returned"), std::nullopt);
+}
+
+// Guards against counting the stop of a stalled run against the task: its estimate was too low.
+TEST_F(job_dispatcher_test, runs_cancelled_as_stalled_do_not_fail_the_job)
+{
+    this->add_agent("a", 9'000);
+    this->add_agent("b", 9'000);
+    this->submit(make_patient_job("j"));
+    for (std::size_t cancelled = 1; cancelled <= 6; ++cancelled)
+    {
+        for (int step = 0; step < 800 && this->cancels.size() < cancelled; ++step)
+        {
+            this->advance_time(milliseconds(25));
+        }
+        ASSERT_EQ(this->cancels.size(), cancelled);
+        auto const agent = this->cancels.back().agent;
+        auto const sent = this->starts_at(agent);
+        ASSERT_EQ(sent.size(), 1U);
+        // No elapsed time, so that the estimate stays as it is.
+        this->dispatcher.run_ended(agent, {sent[0].id, run_end::lost, "cancelled", {}, {}});
+        this->advance_time(milliseconds(25));
+    }
+    EXPECT_EQ(this->outcome("j"), std::nullopt);
+}
+
+// Guards against endless starts of a task that crashes its target while the loss is not attributed
+// to the target each time, for example because the agent is restarted with it.
+TEST_F(job_dispatcher_test, task_lost_many_times_for_unknown_causes_is_given_up)
+{
+    this->add_agent("a", 9'000);
+    this->submit(make_patient_job("j"));
+    std::uint32_t starts = 0;
+    for (auto sent = this->starts_at("a"); !sent.empty() && starts < 20;
+         sent = this->starts_at("a"))
+    {
+        ++starts;
+        this->dispatcher.agent_connected({"a", 1 + starts});
+        this->report("a", make_status(9'000));
+    }
+    EXPECT_EQ(starts, 5U);
+    EXPECT_EQ(this->outcome("j"), job_outcome::given_up);
+}
+
 // Guards against a target that fails every run immediately and therefore attracts all tasks.
 TEST_F(job_dispatcher_test, target_that_fails_repeatedly_is_avoided)
 {
--- a/filbertroad/dispatch/messages.hpp
+++ b/filbertroad/dispatch/messages.hpp
@@ -87,6 +87,9 @@
     milliseconds elapsed{};
     /// Time spent in the agent's queue before the start.
     milliseconds queued{};
+    /// Whether a lost run ended because its target crashed or became silent under it. False for
+    /// other causes of a loss, and where the cause is unknown.
+    bool target_lost = false;
 };
 
 /// Load and readiness of a target, reported by its agent to an entry.
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -66,6 +66,7 @@
     this->target = announcement;
     if (announcement.draining)
     {
+        this->leaving_incarnation = announcement.incarnation;
         this->return_queued_runs("target draining");
     }
     this->start_queued();
@@ -76,6 +77,7 @@
 {
     if (this->target && this->target->name == name)
     {
+        this->leaving_incarnation = this->target->incarnation;
         this->target.reset();
         this->return_queued_runs("target left");
         this->mark_status_changed();
@@ -206,7 +208,8 @@
     }
     if (!refusal.empty())
     {
-        run_report report{order.id, run_end::not_started, std::string(refusal), {}, {}};
+        run_report report{
+            .id = order.id, .end = run_end::not_started, .reason = std::string(refusal)};
         session.unacknowledged[order.id.task] = report;
         this->actions.emplace_back(send_report{std::string(entry), std::move(report)});
         return;
@@ -382,7 +385,8 @@
 {
     auto const* const run = this->runs.find(task);
     bool const was_started = run->state != run_state::queued;
-    run_report report{run->order.id, end, std::string(reason), {}, {}};
+    run_report report{.id = run->order.id, .end = end, .reason = std::string(reason)};
+    report.target_lost = end == run_end::lost && run->is_target_lost;
     report.queued =
         internal::elapsed(run->arrived, was_started ? run->started : this->clock.steady_now());
     if (was_started)
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -270,6 +270,10 @@
     void resend_unanswered_orders();
     void send_stop(entry_run& run);
     void target_restarted(renewal const& sent);
+    /// Whether the target still had the run, as far as this agent knows, when it last answered.
+    [[nodiscard]] bool had_run_at_last_contact(entry_run const& run) const;
+    /// Whether the target has been silent although this agent was able to read its answers.
+    [[nodiscard]] bool is_target_silent() const;
     void handle_finished_run(finished_run const& finish);
     void reconcile_with_list(renewal const& sent, run_list const& list);
     void stop_unknown_runs(run_list const& list);
@@ -298,6 +302,11 @@
     base::steady_time leases_expire_at{};
     /// The target runs tasks that this agent did not start; their resources are unknown.
     bool has_unknown_runs = false;
+    /// Newest incarnation of the target that was draining or removed. Its end is no crash.
+    std::uint64_t leaving_incarnation = 0;
+    std::optional<base::steady_time> last_tick;
+    /// End of the newest pause of this process longer than `limits.contact_timeout`.
+    base::steady_time pause_ended_at{};
     std::uint64_t last_seen = 0;
     bool recovered = false;
     bool zone_out_of_service = false;
--- a/filbertroad/dispatch/run_agent_expiry.cpp
+++ b/filbertroad/dispatch/run_agent_expiry.cpp
@@ -8,6 +8,12 @@
 
 void run_agent::tick()
 {
+    auto const now = this->clock.steady_now();
+    if (this->last_tick && now - *this->last_tick > this->limits.contact_timeout)
+    {
+        this->pause_ended_at = now;
+    }
+    this->last_tick = now;
     if (!this->is_reachable())
     {
         this->return_queued_runs("target unreachable");
@@ -49,12 +55,15 @@
     {
         return;
     }
+    bool const is_silent = this->is_target_silent();
     std::vector<std::string> ended_tasks;
     this->runs.for_each(
-        [&](agent_run const& run)
+        [&](agent_run& run)
         {
             if (run.is_start_confirmed && run.state != run_state::queued)
             {
+                run.is_target_lost =
+                    run.is_target_lost || (is_silent && this->had_run_at_last_contact(run));
                 ended_tasks.push_back(run.order.id.task);
             }
         });
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -91,6 +91,7 @@
     run.verification_sent.reset();
     this->runs.change(run, run_state::queued);
     run.is_start_confirmed = false;
+    run.is_target_lost = false;
     this->mark_status_changed();
 }
 
@@ -203,11 +204,27 @@
     }
 }
 
+bool run_agent::had_run_at_last_contact(agent_run const& run) const
+{
+    bool const was_stopped_before =
+        run.state == run_state::stopping && run.stop_first_sent <= this->target_clock_at;
+    return run.state != run_state::queued && !was_stopped_before;
+}
+
+bool run_agent::is_target_silent() const
+{
+    return !this->is_reachable() && this->pause_ended_at <= this->target_clock_at &&
+           this->leaving_incarnation != this->listed_incarnation;
+}
+
 void run_agent::target_restarted(renewal const& sent)
 {
+    bool const has_crashed = this->leaving_incarnation != this->listed_incarnation;
     this->runs.for_each(
         [&](agent_run& run)
         {
+            run.is_target_lost =
+                run.is_target_lost || (has_crashed && this->had_run_at_last_contact(run));
             if (run.state == run_state::stopping)
             {
                 run.is_stop_answered = false;
@@ -239,6 +256,7 @@
     }
     auto const elapsed = internal::elapsed(run->started, this->clock.steady_now());
     run->is_start_confirmed = true;
+    run->is_target_lost = false;
     switch (finish.end)
     {
     case finish_reason::done:
@@ -279,6 +297,7 @@
             }
             if (is_listed)
             {
+                run.is_target_lost = false;
                 if (!run.is_start_confirmed)
                 {
                     run.is_start_confirmed = true;
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -405,6 +405,138 @@
     EXPECT_EQ(this->report("a")->end, run_end::lost);
 }
 
+// Guards against a task that takes down one target after another without any trace of it in the
+// reports of its runs. The target's next process may appear seconds later, or never.
+TEST_F(run_agent_test, run_on_a_target_that_becomes_silent_is_reported_as_lost_with_the_target)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->advance_time(milliseconds(1'200), {"e"}, false);
+    ASSERT_NE(this->report("a"), nullptr);
+    EXPECT_TRUE(this->report("a")->target_lost);
+}
+
+TEST_F(run_agent_test, run_missing_from_a_restarted_target_is_reported_as_lost_with_the_target)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->incarnation = 2;
+    this->on_target.clear();
+    this->clock.advance(milliseconds(1));
+    this->renew();
+    ASSERT_NE(this->report("a"), nullptr);
+    EXPECT_TRUE(this->report("a")->target_lost);
+}
+
+// Guards against a task that crashes the target before its start is answered, and counts as lost
+// for an unknown cause each time.
+TEST_F(run_agent_test, unanswered_start_on_a_target_that_restarts_is_reported_as_lost_with_it)
+{
+    this->connect("e");
+    this->answers_starts = false;
+    this->order("e", "t", 3'000);
+    this->agent.start_answered({"t", 1}, start_answer::none);
+    this->incarnation = 2;
+    this->clock.advance(milliseconds(1));
+    this->renew();
+    ASSERT_NE(this->report("t"), nullptr);
+    EXPECT_TRUE(this->report("t")->target_lost);
+}
+
+// Guards against hiding a crash: the entry cancels a run as stalled before the agent knows that the
+// target is gone.
+TEST_F(run_agent_test, run_cancelled_on_a_silent_target_is_reported_as_lost_with_the_target)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->answers_stops = false;
+    this->advance_time(milliseconds(600), {"e"}, false);
+    this->agent.cancel_ordered("e", {"a", 1});
+    this->advance_time(milliseconds(600), {"e"}, false);
+    ASSERT_NE(this->report("a"), nullptr);
+    EXPECT_TRUE(this->report("a")->target_lost);
+}
+
+// Guards against evidence against a task where its entry or its caller ended the run.
+TEST_F(run_agent_test, stopped_run_is_not_reported_as_lost_with_the_target)
+{
+    this->connect("e");
+    this->order("e", "cancelled", 3'000);
+    this->agent.cancel_ordered("e", {"cancelled", 1});
+    this->collect();
+    this->order("e", "silent", 3'000);
+    this->advance_time(milliseconds(800), {});
+    this->connect("e");
+    for (auto const* const task : {"cancelled", "silent"})
+    {
+        ASSERT_NE(this->report(task), nullptr) << task;
+        EXPECT_EQ(this->report(task)->end, run_end::lost) << task;
+        EXPECT_FALSE(this->report(task)->target_lost) << task;
+    }
+}
+
+// Guards against evidence against a task whose lease the agent let expire, because the target did
+// not confirm the stop of another run.
+TEST_F(run_agent_test, run_whose_lease_is_withheld_is_not_reported_as_lost_with_the_target)
+{
+    this->connect("e");
+    this->order("e", "stopped", 3'000);
+    this->order("e", "beside", 3'000);
+    this->answers_stops = false;
+    this->agent.cancel_ordered("e", {"stopped", 1});
+    this->advance_time(milliseconds(1'500), {"e"});
+    ASSERT_NE(this->report("beside"), nullptr);
+    EXPECT_EQ(this->report("beside")->end, run_end::lost);
+    EXPECT_FALSE(this->report("beside")->target_lost);
+}
+
+// Guards against evidence against the tasks of an agent that was paused: it could not read the
+// answers of the target.
+TEST_F(run_agent_test, run_of_a_paused_agent_is_not_reported_as_lost_with_the_target)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->advance_time(milliseconds(100), {"e"});
+    this->clock.advance(milliseconds(1'500));
+    this->agent.tick();
+    this->collect();
+    ASSERT_NE(this->report("a"), nullptr);
+    EXPECT_EQ(this->report("a")->end, run_end::lost);
+    EXPECT_FALSE(this->report("a")->target_lost);
+}
+
+// Guards against evidence against the tasks of a target that left as announced.
+TEST_F(run_agent_test, run_on_a_target_that_leaves_is_not_reported_as_lost_with_the_target)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->announce(true);
+    this->incarnation = 2;
+    this->on_target.clear();
+    this->clock.advance(milliseconds(1));
+    this->announce();
+    this->renew();
+    ASSERT_NE(this->report("a"), nullptr);
+    EXPECT_EQ(this->report("a")->end, run_end::lost);
+    EXPECT_FALSE(this->report("a")->target_lost);
+}
+
+// Guards against evidence from a process that has ended against a run on its successor.
+TEST_F(run_agent_test, run_stopped_on_the_restarted_target_is_not_reported_as_lost_with_it)
+{
+    this->connect("e");
+    this->order("e", "t", 3'000);
+    this->clock.advance(milliseconds(1));
+    this->incarnation = 2;
+    this->renew();
+    this->agent.cancel_ordered("e", {"t", 1});
+    this->collect();
+    this->renew();
+    ASSERT_NE(this->report("t"), nullptr);
+    EXPECT_EQ(this->report("t")->end, run_end::lost);
+    EXPECT_FALSE(this->report("t")->target_lost);
+}
+
 TEST_F(run_agent_test, stopping_agent_returns_its_queue_and_lets_runs_end)
 {
     this->connect("e");
--- a/filbertroad/node/frame.cpp
+++ b/filbertroad/node/frame.cpp
@@ -97,11 +97,16 @@
     out.set_outcome(to_wire(report.end));
     out.set_reason(report.reason);
     out.set_elapsed_ms(to_wire(report.elapsed));
+    out.set_target_lost(report.target_lost);
 }
 
 dispatch::run_report read(wire::run_outcome_report const& in)
 {
-    return {read(in.id()), read(in.outcome()), in.reason(), milliseconds(in.elapsed_ms())};
+    return {.id = read(in.id()),
+            .end = read(in.outcome()),
+            .reason = in.reason(),
+            .elapsed = milliseconds(in.elapsed_ms()),
+            .target_lost = in.target_lost()};
 }
 
 void write_details(dispatch::target_status const& status, wire::agent_load& out)
--- a/filbertroad/node/frame_test.cpp
+++ b/filbertroad/node/frame_test.cpp
@@ -57,6 +57,24 @@
     EXPECT_FALSE(decode_frame(message));
 }
 
+// Guards against a task that crashes its targets and is started forever, because the entry is not
+// told that they were lost. A report of an earlier version says nothing about it.
+TEST(frame_test, report_keeps_whether_the_target_was_lost)
+{
+    frame content;
+    content.reports = {
+        {.id = {"a", 1}, .end = dispatch::run_end::lost, .reason = "", .target_lost = true},
+        {.id = {"b", 1}, .end = dispatch::run_end::lost, .reason = "", .target_lost = false}};
+    auto message = encode_frame(content, protocol_version);
+    message.mutable_dispatch()->add_reports()->set_outcome(wire::run_outcome_lost);
+    auto const decoded = decode_frame(message);
+    ASSERT_TRUE(decoded);
+    ASSERT_EQ(decoded->reports.size(), 3U);
+    EXPECT_TRUE(decoded->reports[0].target_lost);
+    EXPECT_FALSE(decoded->reports[1].target_lost);
+    EXPECT_FALSE(decoded->reports[2].target_lost);
+}
+
 TEST(frame_test, status_leaves_out_details_for_receivers_that_keep_them)
 {
     frame content;
