--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -317,6 +317,7 @@
                          {"entry", action.entry},
                          {"end", std::string(to_string(action.report.end))},
                          {"reason", action.report.reason},
+                         {"target_lost", action.report.target_lost ? "true" : "false"},
                          {"queued_ms", std::to_string(action.report.queued.count())},
                          {"elapsed_ms", std::to_string(action.report.elapsed.count())}});
         if (auto* const entry = this->connections.find(action.entry); entry != nullptr)
--- a/filbertroad/telemetry/events.hpp
+++ b/filbertroad/telemetry/events.hpp
@@ -132,7 +132,8 @@
     5003, severity::info, "job_answered",
     "A job was answered: its outcome, the reason, and how long the job was held."};
 inline constexpr event_definition run_ended{5004, severity::info, "run_ended",
-                                            "A run on a target has ended, with the reason."};
+                                            "A run on a target has ended, with the reason, and "
+                                            "whether the target was lost under it."};
 inline constexpr event_definition run_sent{
     5005, severity::info, "run_sent",
     "A run was sent to an agent, with its expected queueing and run time."};
