Do not handle a POST whose client has already left

A task could run twice at the same time after an entry had been paused (SIGSTOP, pause of the VM) for longer than its caller waits. Request and end of stream are then both in the receive buffer when the process goes on. The request was handed to the handler and its tasks were sent to agents before the end of the stream was read and cancelled the job, which the caller had submitted again through another entry.

A connection now peeks at its socket, without blocking, before it hands over a POST, and closes if the stream has ended or was reset. Bytes of a further request are no end. As for a client that leaves while its request is handled, an end of the sending direction counts as leaving. Nothing is logged, because the job was never accepted.

Methods other than POST are handled as before, since they may be repeated safely: a half-closed GET or PUT keeps its answer, and a DELETE still cancels. Over TLS the peek sees an end only if no bytes of the TLS layer are unread before it; no test covers this.

--- a/filbertroad/net/http.hpp
+++ b/filbertroad/net/http.hpp
@@ -118,7 +118,8 @@
 using http_responder = std::function<void(http_response)>;
 
 /// Handles one request; called on the connection's strand. A response to a connection that has been
-/// closed in the meantime is dropped.
+/// closed in the meantime is dropped. It is not called for a POST if the client has closed its
+/// sending direction or reset the connection by the time that the request has been read.
 using http_handler = std::function<void(http_request, http_responder)>;
 
 class http_server
--- a/filbertroad/net/http_test.cpp
+++ b/filbertroad/net/http_test.cpp
@@ -315,6 +315,52 @@
     EXPECT_TRUE(run_until(this->io, [this] { return this->server->is_idle(); }));
 }
 
+// Guards against work that starts for a client that has left, and may have sent its request to
+// another server, while this process was paused.
+TEST_F(http_test, request_whose_client_has_already_left_does_not_reach_the_handler)
+{
+    this->listen_and_defer_responses();
+    constexpr std::string_view head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n";
+    for (bool const is_reset : {false, true})
+    {
+        // The server does not run before the client has left.
+        auto leaving = this->raw_connection();
+        asio::write(leaving, asio::buffer(std::string(head) + "body"));
+        leaving.set_option(asio::socket_base::linger(is_reset, 0));
+        leaving.close();
+        // A client that stays shows that the server has read the request before.
+        auto staying = this->raw_connection();
+        asio::write(staying, asio::buffer(std::string(head) + "stay"));
+        ASSERT_TRUE(run_until(this->io, [this] { return !this->requests.empty(); }));
+        this->io.run_for(milliseconds(20));
+        EXPECT_EQ(this->requests.size(), 1U) << "reset: " << is_reset;
+        EXPECT_EQ(this->requests.back().body, "stay");
+        staying.close();
+        EXPECT_TRUE(run_until(this->io, [this] { return this->server->is_idle(); }));
+        this->requests.clear();
+        this->responders.clear();
+    }
+}
+
+// Guards against a client that is taken for gone because its next request has already arrived.
+TEST_F(http_test, pipelined_requests_of_a_client_that_stays_reach_the_handler)
+{
+    this->listen_and_defer_responses();
+    // The second body does not fit into the read of the first request, so that some of it is still
+    // in the socket when that request is handled.
+    std::string const second_body(20'000, 'b');
+    auto socket = this->raw_connection();
+    asio::write(socket, asio::buffer("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\n"
+                                     "Host: a\r\nContent-Length: 20000\r\n\r\n" +
+                                     second_body));
+    ASSERT_TRUE(run_until(this->io, [this] { return this->requests.size() == 1; }));
+    this->responders[0]({.status = 200});
+    ASSERT_TRUE(run_until(this->io, [this] { return this->requests.size() == 2; }));
+    EXPECT_EQ(this->requests[1].body, second_body);
+    this->responders[1]({.body = "second", .close = true});
+    EXPECT_TRUE(contains(this->read_all(socket), "second"));
+}
+
 TEST_F(http_test, waiting_client_is_not_reported_as_disconnected)
 {
     this->listen_and_defer_responses();
--- a/filbertroad/net/internal/http_connection.cpp
+++ b/filbertroad/net/internal/http_connection.cpp
@@ -75,6 +75,8 @@
                    {
                        error_code ignored;
                        self->socket.set_option(tcp::no_delay(true), ignored);
+                       // For peek_client(), which must not block.
+                       self->socket.non_blocking(true, ignored);
                        self->begin();
                        self->schedule_deadline_check();
                    });
@@ -133,6 +135,13 @@
         closed,
     };
 
+    enum class client_state
+    {
+        waiting,
+        sending,
+        gone,
+    };
+
     /// Sends status 500 if the handler drops its responder. It holds only a weak reference to the
     /// connection, so that a responder may outlive the io_context.
     class pending_response
@@ -379,6 +388,15 @@
 
     void handle()
     {
+        // A client that is gone may have sent the request to another server meanwhile. Methods
+        // other than POST are safe to repeat, and are handled: the client may have closed only its
+        // sending direction.
+        if (this->parser->get().method() == http::verb::post &&
+            this->peek_client() == client_state::gone)
+        {
+            this->close();
+            return;
+        }
         this->current_phase = phase::handling;
         this->deadline = clock::time_point::max();
         if (auto const error = find_head_error(this->parser->get()))
@@ -396,6 +414,21 @@
                                     { pending->send(std::move(response)); });
     }
 
+    /// Whether the client has closed or reset the connection, as far as the socket shows it without
+    /// reading. A client that closes only its sending direction counts as gone. Over TLS, bytes of
+    /// the TLS layer that are still unread count as sending.
+    [[nodiscard]] client_state peek_client()
+    {
+        error_code code;
+        char byte = 0;
+        this->socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+        if (code == asio::error::would_block)
+        {
+            return client_state::waiting;
+        }
+        return code ? client_state::gone : client_state::sending;
+    }
+
     /// Detects a client that closes or resets the connection while its request is handled. Over TLS
     /// the end of the stream is not visible at the socket; it is detected when the response is
     /// sent.
@@ -416,13 +449,7 @@
         {
             return;
         }
-        error_code peek_code;
-        char byte = 0;
-        this->socket.non_blocking(true, peek_code);
-        auto const size =
-            this->socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peek_code);
-        bool const is_next_request = !code && !peek_code && size != 0;
-        if (is_next_request || peek_code == asio::error::would_block)
+        if (!code && this->peek_client() != client_state::gone)
         {
             return;
         }
