End a crashed entry's runs before its callers send their jobs again

A task could run twice at the same time: callers of a crashed entry send their jobs again after 1.3 s, through any entry, while a run of the crashed entry could last 1,570 ms. Its agent stops the run 600 ms after the entry's last message. If the target does not execute the stop, the run ends with the target's lease, and the agent went on to renew that lease for 600 ms each time until the stop had been unconfirmed for 300 ms.

A lease granted while a run has to end now ends no later than one granted when the run had to end: 600 ms after the stop was due instead of 900 ms. Other runs on the target keep their lease as long as the stop is confirmed within 600 ms, as before. An entry that hears nothing from an agent starts its tasks elsewhere after 1,275 ms instead of 1,575 ms.

Two tests stated the old time of 1,575 ms. They demand the new one as closely: no start until 1,250 ms, one by 1,300 ms. dispatch_limits_test computes it from the agent's limits.

--- a/filbertroad/dispatch/cluster_property_test.cpp
+++ b/filbertroad/dispatch/cluster_property_test.cpp
@@ -115,5 +115,31 @@
     EXPECT_GT(resubmitted, seed_count);
 }
 
+// Guards against two concurrent runs of a task when an entry crashes while targets renew leases but
+// execute no stop: the run lasts until the target's lease ends, and the caller sends the job again
+// through another entry 1.3 s after the crash.
+TEST(cluster_property_test, invariants_hold_when_targets_execute_no_stop_and_jobs_are_sent_again)
+{
+    std::vector<std::uint64_t> seeds(seed_count);
+    std::iota(seeds.begin(), seeds.end(), 1);
+    seeds.insert(seeds.end(), {132, 253, 277, 895, 1007, 1090, 1629, 1736, 1769});
+    std::size_t completed = 0;
+    std::size_t resubmitted = 0;
+    for (auto const seed : seeds)
+    {
+        cluster_simulation cluster(seed);
+        cluster.callers_resubmit = true;
+        cluster.lost_stop_share = 0.97;
+        cluster.longest_run = milliseconds(900);
+        cluster.run(std::chrono::seconds(15));
+        EXPECT_TRUE(cluster.violations().empty())
+            << "seed " << seed << ": " << cluster.violations().front();
+        completed += cluster.completed();
+        resubmitted += cluster.resubmitted();
+    }
+    EXPECT_GT(completed, seed_count);
+    EXPECT_GT(resubmitted, seed_count);
+}
+
 } // namespace
 } // namespace filbertroad::dispatch
--- a/filbertroad/dispatch/cluster_simulation.cpp
+++ b/filbertroad/dispatch/cluster_simulation.cpp
@@ -816,8 +816,8 @@
 void cluster_simulation::order_stop(agent_process& from, stop_run const& order)
 {
     auto& managed_target = *from.managed_target;
-    bool const is_lost =
-        managed_target.is_unresponsive || (this->delays_orders && this->random_chance(0.3));
+    bool const is_lost = managed_target.is_unresponsive ||
+                         (this->delays_orders && this->random_chance(this->lost_stop_share));
     this->schedule(
         is_lost ? milliseconds(60) : milliseconds(1),
         [this, &from, &managed_target, order, is_lost, incarnation = from.incarnation]
--- a/filbertroad/dispatch/cluster_simulation.hpp
+++ b/filbertroad/dispatch/cluster_simulation.hpp
@@ -40,6 +40,8 @@
     /// Whether entries crash, callers lose their connections, and callers send a job again, through
     /// any entry, after a lost connection, no answer in time, or the outcome "given up".
     bool callers_resubmit = false;
+    /// Share of the stops that targets leave unanswered and do not execute while they delay orders.
+    double lost_stop_share = 0.3;
     /// Longest run time on a target of speed 1.
     milliseconds longest_run{400};
     ~cluster_simulation();
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -43,10 +43,10 @@
     /// without a message the agent stops its runs for this entry, so that they cannot succeed.
     milliseconds entry_lease{600};
     /// Time without a message from an agent after which its runs have ended. Sum of the following
-    /// values of `agent_limits`: the entry lease, the stop confirmation timeout, and a target lease
-    /// that is counted from the last contact, all on the slowest clock; and 50 ms for the end of a
-    /// run.
-    milliseconds runs_expire_after{1'575};
+    /// values of `agent_limits`: the entry lease, and a target lease that is counted from the last
+    /// contact, on the slowest clock; and 50 ms for the end of a run. Callers of a crashed entry
+    /// send their jobs again after 1,300 ms, so it must be less.
+    milliseconds runs_expire_after{1'275};
     /// Share of the latency objective for which a job may wait for a target that accepts starts.
     double placement_timeout_factor = 0.25;
     /// Time from the start of the entry until it is linked to its agents. Until then a job that
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -1,4 +1,5 @@
 #include "filbertroad/dispatch/dispatcher_fixture.hpp"
+#include "filbertroad/dispatch/run_agent.hpp"
 
 #include <utility>
 
@@ -196,18 +197,34 @@
     this->submit(std::move(job));
     ASSERT_EQ(this->starts_at("a").size(), 1U);
     this->statuses.erase("a");
-    this->advance_time(milliseconds(1'550));
+    this->advance_time(milliseconds(1'250));
     EXPECT_TRUE(this->starts_at("b").empty());
     this->advance_time(milliseconds(50));
     EXPECT_EQ(this->starts_at("b").size(), 1U);
 }
 
+// Guards against two concurrent runs of a task: the entry must not count on less than the leases of
+// its agents, and a crashed entry's runs must end before its callers send their jobs again.
+TEST(dispatch_limits_test, runs_expire_after_their_leases_and_before_jobs_are_sent_again)
+{
+    agent_limits const agent;
+    // The agent extrapolates the target's clock at full rate for up to the contact timeout.
+    auto const extrapolated = agent.target_lease + agent.contact_timeout;
+    auto const longest_lease = static_cast<double>(extrapolated.count()) / agent.min_clock_rate -
+                               static_cast<double>(agent.contact_timeout.count());
+    auto const longest_run = static_cast<double>(agent.entry_lease.count()) + longest_lease +
+                             static_cast<double>(agent.stop_grace_period.count());
+    auto const expiry = static_cast<double>(dispatch_limits{}.runs_expire_after.count());
+    EXPECT_GT(expiry, longest_run);
+    EXPECT_LT(expiry, 1'300);
+}
+
 // Guards against a caller that keeps waiting for a job that can no longer be completed.
 TEST_F(job_dispatcher_test, job_that_cannot_run_again_in_time_is_answered_when_its_agent_is_lost)
 {
     this->add_agent("a", 32'000);
     auto job = make_job("j", 1);
-    job.time_budget = milliseconds(1'700);
+    job.time_budget = milliseconds(1'400);
     this->submit(std::move(job));
     this->advance_time(milliseconds(650), false);
     EXPECT_EQ(this->outcome("j"), job_outcome::given_up);
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -53,7 +53,7 @@
     milliseconds stop_grace_period{50};
     /// Time without confirmation that a stopped run has ended, after which the target's lease is no
     /// longer renewed and no run is started. An entry whose lease has expired relies on the end of
-    /// the target's lease.
+    /// the target's lease. Less than the target lease, which is not extended by this time.
     milliseconds stop_confirmation_timeout{300};
     /// Lowest rate of a target's clock relative to true time.
     double min_clock_rate = 0.98;
@@ -260,8 +260,14 @@
     /// The clock's epoch if the entry has never had a lease.
     [[nodiscard]] base::steady_time entry_lease_end(std::string_view entry) const;
     [[nodiscard]] bool has_entry_lease(std::string_view entry) const;
+    /// When `run` has to end: when it was stopped, or when the lease of its entry ends. `run` is
+    /// not queued.
+    [[nodiscard]] base::steady_time end_due(entry_run const& run) const;
     /// Whether a stop has been unconfirmed for so long that the target's lease has to expire.
     [[nodiscard]] bool is_lease_withheld() const;
+    /// Duration of a lease that begins now. It ends no later than a lease that began when a run had
+    /// to end, in case the target does not execute the stop.
+    [[nodiscard]] milliseconds lease_duration() const;
     /// Returns the end of a lease that begins now, on the target's clock, and extends
     /// `leases_expire_at` to cover it.
     std::uint64_t grant_lease();
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -119,6 +119,12 @@
     return next;
 }
 
+base::steady_time run_agent::end_due(agent_run const& run) const
+{
+    // A run that has to end may not have been stopped yet, if tick() is late.
+    return run.state == run_state::stopping ? run.stop_due : this->entry_lease_end(run.entry);
+}
+
 bool run_agent::is_lease_withheld() const
 {
     auto const now = this->clock.steady_now();
@@ -126,16 +132,26 @@
     this->runs.for_each(
         [&](agent_run const& run)
         {
-            if (run.state == run_state::queued)
+            is_withheld =
+                is_withheld || (run.state != run_state::queued &&
+                                now - this->end_due(run) > this->limits.stop_confirmation_timeout);
+        });
+    return is_withheld;
+}
+
+milliseconds run_agent::lease_duration() const
+{
+    auto const now = this->clock.steady_now();
+    auto end = now + this->limits.target_lease;
+    this->runs.for_each(
+        [&](agent_run const& run)
+        {
+            if (run.state != run_state::queued)
             {
-                return;
+                end = std::min(end, this->end_due(run) + this->limits.target_lease);
             }
-            // A run that has to end may not have been stopped yet, if tick() is late.
-            auto const due =
-                run.state == run_state::stopping ? run.stop_due : this->entry_lease_end(run.entry);
-            is_withheld = is_withheld || now - due > this->limits.stop_confirmation_timeout;
         });
-    return is_withheld;
+    return internal::elapsed(now, std::max(now, end));
 }
 
 std::uint64_t run_agent::grant_lease()
@@ -144,7 +160,7 @@
     auto const target_now =
         this->target_clock_ms +
         static_cast<std::uint64_t>(internal::elapsed(this->target_clock_at, now).count());
-    auto const until = target_now + static_cast<std::uint64_t>(this->limits.target_lease.count());
+    auto const until = target_now + static_cast<std::uint64_t>(this->lease_duration().count());
     // The target's clock was at least `target_clock_ms` when its answer was received.
     auto const longest =
         static_cast<double>(until - this->target_clock_ms) / this->limits.min_clock_rate;
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -519,6 +519,28 @@
     EXPECT_FALSE(this->last_lease.has_value());
 }
 
+// Guards against two runs of a task: the caller of a crashed entry sends its job again, through
+// another entry, before a run could end that is only ended by the lease.
+TEST_F(run_agent_test, lease_is_not_extended_for_the_time_in_which_a_stop_is_unconfirmed)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->answers_stops = false;
+    agent_limits const limits;
+    auto const latest_end =
+        this->target_clock() +
+        static_cast<std::uint64_t>(limits.entry_lease.count() + limits.target_lease.count());
+    std::uint64_t end = 0;
+    while (this->report("a") == nullptr && this->target_clock() < latest_end + 1'000)
+    {
+        this->advance_time(milliseconds(25), {});
+        end = std::max(end, this->last_lease.value_or(0));
+    }
+    EXPECT_EQ(end, latest_end);
+    ASSERT_NE(this->report("a"), nullptr);
+    EXPECT_EQ(this->report("a")->end, run_end::lost);
+}
+
 // Guards against two runs of a task: the entry of a run whose stop is unconfirmed relies on the end
 // of the target's lease, which every start would extend.
 TEST_F(run_agent_test, nothing_starts_while_the_lease_is_withheld)
