Cancel a run before its task starts elsewhere after silence of its agent

A task could run twice at the same time after an entry or an agent had been frozen. A start that waits in an agent's queue, or is under way to the agent, is no run yet, so the end of the leases does not end it. The entry counted the run as lost after the silence and started the task elsewhere without a word to the agent; the next heartbeat renewed the entry's lease, and the agent carried out the start.

The entry now sends a cancel first. Frames of a link arrive in order, so the cancel arrives before any heartbeat that renews the lease. If the link was closed meanwhile, the list of runs that the entry still wants drops the start, as before: the links of the real processes close after 400 ms (agent) and 700 ms (entry) of silence, so that this took a link that both found alive, e.g. after both had been suspended.

--- a/filbertroad/dispatch/job_dispatcher_checks.cpp
+++ b/filbertroad/dispatch/job_dispatcher_checks.cpp
@@ -71,6 +71,8 @@
     auto const time_since_contact = now - view.last_contact();
     if (time_since_contact > this->limits.runs_expire_after)
     {
+        // The start may still wait in the agent's queue, or be under way to it.
+        this->actions.emplace_back(send_cancel{item.agent, item.order.id});
         this->handle_run_end(
             parent_job, item, item.agent,
             {.id = {item.name, item.run}, .end = run_end::lost, .reason = "agent silent"});
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -203,6 +203,29 @@
     EXPECT_EQ(this->starts_at("b").size(), 1U);
 }
 
+// Guards against two concurrent runs of a task: a start can wait in the queue of a silent agent, or
+// be under way to it, and the agent executes it when the entry has a lease again.
+TEST_F(job_dispatcher_test, run_of_an_unresponsive_agent_is_cancelled_before_its_task_restarts)
+{
+    this->add_agent("a", 32'000, 2);
+    this->add_agent("b", 32'000);
+    auto job = make_job("j", 1);
+    job.time_budget = milliseconds(10'000);
+    job.target_latency = milliseconds(3'000);
+    this->submit(std::move(job));
+    auto const sent = this->starts_at("a");
+    ASSERT_EQ(sent.size(), 1U);
+    this->statuses.erase("a");
+    this->advance_time(milliseconds(1'250));
+    // An earlier cancellation may have been lost.
+    this->cancels.clear();
+    this->advance_time(milliseconds(50));
+    ASSERT_EQ(this->starts_at("b").size(), 1U);
+    ASSERT_EQ(this->cancels.size(), 1U);
+    EXPECT_EQ(this->cancels[0].agent, "a");
+    EXPECT_EQ(this->cancels[0].id, sent[0].id);
+}
+
 // Guards against two concurrent runs of a task: the entry must not count on less than the leases of
 // its agents, and a crashed entry's runs must end before its callers send their jobs again.
 TEST(dispatch_limits_test, runs_expire_after_their_leases_and_before_jobs_are_sent_again)
