--- a/filbertroad/dispatch/cluster_property_test.cpp
+++ b/filbertroad/dispatch/cluster_property_test.cpp
@@ -78,7 +78,8 @@
 // accepts the order. Listed in KNOWN-RED.txt.
 TEST(cluster_property_test, invariants_hold_when_a_late_order_is_the_first_after_a_restart)
 {
-    for (std::uint64_t const failed_seed : {425U, 114U, 426U, 765U, 1058U})
+    for (std::uint64_t const failed_seed :
+         {425U, 114U, 426U, 765U, 1058U, 211U, 322U, 452U, 537U, 651U})
     {
         cluster_simulation cluster(failed_seed);
         cluster.restarted_target_accepts_late_orders = true;
