Renew no lease before the runs of an earlier agent have ended

A task could run twice at the same time after a crash of an agent. Its entries hear nothing from it and start its tasks elsewhere 1,275 ms later, when the lease that it granted must have ended. The next process of the agent stops the runs of the earlier one, but renewed the target's lease beside them from its second renewal on. When the target did not execute the stops, or executed them late, the runs went on for as long as they lasted.

An agent now renews no lease until the target lists no run of an earlier agent. It has no runs of its own by then, so nothing else is lost, and it takes over 600 ms later at most although the target executes no stop.

--- a/filbertroad/dispatch/cluster_property_test.cpp
+++ b/filbertroad/dispatch/cluster_property_test.cpp
@@ -125,6 +125,8 @@
     seeds.insert(seeds.end(), {132, 253, 277, 895, 1007, 1090, 1629, 1736, 1769});
     // An entry was frozen while a start waited in an agent's queue.
     seeds.push_back(1446);
+    // An agent restarted beside a run of its earlier process.
+    seeds.push_back(5851);
     std::size_t completed = 0;
     std::size_t resubmitted = 0;
     for (auto const seed : seeds)
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -112,7 +112,9 @@
 {
     auto const now = this->clock.steady_now();
     renewal next{this->fencing_token, this->last_seen, std::nullopt, now};
-    if (this->is_reachable() && !this->is_lease_withheld())
+    // The runs of an earlier agent have to end: their entries count on the end of the lease that it
+    // granted.
+    if (this->is_reachable() && this->recovered && !this->is_lease_withheld())
     {
         next.lease_until_ms = this->grant_lease();
     }
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -573,6 +573,21 @@
     EXPECT_FALSE(this->last_lease.has_value());
 }
 
+// Guards against two runs of a task: an agent that restarted renewed the lease of the runs of its
+// earlier process. Their entries start the tasks elsewhere when that lease must have ended.
+TEST_F(run_agent_test, lease_is_not_renewed_beside_runs_of_an_earlier_agent)
+{
+    run_agent restarted(this->clock, "zone-1", {}, 2);
+    this->on_target["foreign"] = 3;
+    restarted.renewal_answered(restarted.make_renewal(), this->list());
+    ASSERT_FALSE(restarted.is_recovered());
+    EXPECT_FALSE(restarted.make_renewal().lease_until_ms.has_value());
+    this->finish("foreign", finish_reason::expired);
+    restarted.renewal_answered(restarted.make_renewal(), this->list());
+    ASSERT_TRUE(restarted.is_recovered());
+    EXPECT_TRUE(restarted.make_renewal().lease_until_ms.has_value());
+}
+
 // Guards against two runs of a task: a renewal to the earlier process of a restarted target names a
 // time on that process's clock, and gives the new process the longest lease that it grants.
 TEST_F(run_agent_test, lease_from_an_order_to_the_earlier_process_is_waited_for)
