Count every stop from the end of the entry's lease

A task could run twice at the same time when its agent was paused for up to 0.6 s. A run has to end when the lease of its entry ends, and the target's lease is bounded by that time. An agent that comes out of a pause can read a cancel, or the hello of a restarted entry, before the tick in which it would stop the run. The stop then counted from that moment, so that the agent extended the target's lease by the time of the pause, and a run whose stop is not executed lasted until after the entry, or a caller of the crashed entry, relied on its end.

Only the stop in the tick took the end of the entry's lease. Every stop now does. A restarted entry's runs are stopped before the session of the earlier process, with its lease, is dropped.

Class: a permission to run that lasts longer than the process that waits for its end assumes.

--- a/filbertroad/dispatch/agent_fixture.hpp
+++ b/filbertroad/dispatch/agent_fixture.hpp
@@ -104,6 +104,14 @@
                 .count());
     }
 
+    /// Latest end, on the target's clock, of the lease of a run whose entry falls silent now.
+    [[nodiscard]] std::uint64_t latest_run_end() const
+    {
+        agent_limits const limits;
+        auto const time_left = limits.entry_lease + limits.target_lease;
+        return this->target_clock() + static_cast<std::uint64_t>(time_left.count());
+    }
+
     /// Ends a run on the target; the answer to the next renewal lists the end.
     void finish(std::string const& task, finish_reason reason = finish_reason::done)
     {
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -89,8 +89,6 @@
     auto& session = this->sessions[entry.name];
     if (session.incarnation != entry.incarnation)
     {
-        session = {};
-        session.incarnation = entry.incarnation;
         this->runs.for_each(
             [&](agent_run& run)
             {
@@ -99,6 +97,8 @@
                     this->stop(run, "entry restarted");
                 }
             });
+        session = {};
+        session.incarnation = entry.incarnation;
         for (auto const& task : this->runs.queued())
         {
             if (this->runs.find(task)->entry == entry.name)
@@ -377,7 +377,8 @@
     }
     this->runs.change(run, run_state::stopping);
     run.stop_reason = reason;
-    run.stop_due = this->clock.steady_now();
+    // The entry counts from the end of its lease, which this agent may notice late.
+    run.stop_due = std::min(this->clock.steady_now(), this->entry_lease_end(run.entry));
     this->send_stop(run);
 }
 
--- a/filbertroad/dispatch/run_agent_expiry.cpp
+++ b/filbertroad/dispatch/run_agent_expiry.cpp
@@ -35,8 +35,6 @@
             if (is_active && !this->has_entry_lease(run.entry))
             {
                 this->stop(run, "entry silent");
-                // The entry counts from the end of its lease, which this agent may notice late.
-                run.stop_due = this->entry_lease_end(run.entry);
             }
         });
     auto const now = this->clock.steady_now();
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -526,10 +526,7 @@
     this->connect("e");
     this->order("e", "a", 3'000);
     this->answers_stops = false;
-    agent_limits const limits;
-    auto const latest_end =
-        this->target_clock() +
-        static_cast<std::uint64_t>(limits.entry_lease.count() + limits.target_lease.count());
+    auto const latest_end = this->latest_run_end();
     std::uint64_t end = 0;
     while (this->report("a") == nullptr && this->target_clock() < latest_end + 1'000)
     {
@@ -588,6 +585,36 @@
     EXPECT_TRUE(restarted.make_renewal().lease_until_ms.has_value());
 }
 
+// Guards against two runs of a task: an agent that was paused stops a run after the lease of its
+// entry has ended, and must not extend the target's lease from then on instead of from that end.
+TEST_F(run_agent_test, late_cancellation_does_not_extend_the_lease)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->answers_stops = false;
+    auto const latest_end = this->latest_run_end();
+    this->advance_time(milliseconds(575), {});
+    this->clock.advance(milliseconds(250));
+    this->agent.cancel_ordered("e", {"a", 1});
+    this->renew();
+    EXPECT_EQ(this->last_lease, latest_end);
+}
+
+// Guards against the same when the agent hears of a restart of the entry before it has stopped the
+// runs of the earlier process, whose callers send their jobs again.
+TEST_F(run_agent_test, late_stop_after_a_restart_of_the_entry_does_not_extend_the_lease)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->answers_stops = false;
+    auto const latest_end = this->latest_run_end();
+    this->advance_time(milliseconds(575), {});
+    this->clock.advance(milliseconds(250));
+    this->agent.entry_connected({"e", 2});
+    this->renew();
+    EXPECT_EQ(this->last_lease, latest_end);
+}
+
 // Guards against two runs of a task: a renewal to the earlier process of a restarted target names a
 // time on that process's clock, and gives the new process the longest lease that it grants.
 TEST_F(run_agent_test, lease_from_an_order_to_the_earlier_process_is_waited_for)
