Apply a frame's cancels before its heartbeat

A task could run twice at the same time after an entry and the agent of a queued run had both been suspended. The entry cancels the run after the silence and starts its task elsewhere. The agent relies on the order of the frames: the cancel arrives before a heartbeat renews the entry's lease. But both can be in one frame, and the agent applied the heartbeat of a frame first. It started the queued run, and then stopped it.

The agent now applies the list of runs that the entry still needs, and the cancels, before the heartbeat. Cancels are applied again after the starts, for a run that is started and cancelled in one frame. The heartbeat stays before the starts, which may need the lease that it renews.

Evidence: agent_node_test.heartbeat_does_not_start_a_run_that_its_frame_cancels and agent_node_test. heartbeat_does_not_start_a_run_that_its_frame_no_longer_lists failed before (the target got the start).

--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -189,24 +189,24 @@
         {
             this->add_entry(known_entry);
         }
+        if (content.resume)
+        {
+            this->agent.runs_resumed(entry.name, std::move(*content.resume));
+        }
+        this->cancel_runs(entry, content);
+        // The heartbeat can start queued runs, so the runs that the entry no longer needs are
+        // removed before.
         if (content.heartbeat)
         {
             this->agent.entry_heartbeat_received(entry.name, content.heartbeat->echoed_stamp_ms);
             this->send_snapshot_if_stale(entry, content.heartbeat->snapshot_offset);
         }
-        if (content.resume)
-        {
-            this->agent.runs_resumed(entry.name, std::move(*content.resume));
-        }
-        // An entry may cancel a run in the frame that starts it.
         for (auto& order : content.starts)
         {
             this->agent.start_ordered(entry.name, std::move(order));
         }
-        for (auto const& id : content.cancels)
-        {
-            this->agent.cancel_ordered(entry.name, id);
-        }
+        // An entry may cancel a run in the frame that starts it.
+        this->cancel_runs(entry, content);
         // Last, so that a start whose run number the entry already takes for ended gets the report
         // again and has no other effect.
         for (auto const& id : content.acknowledged)
@@ -215,6 +215,14 @@
         }
     }
 
+    void cancel_runs(entry_link const& entry, frame const& content)
+    {
+        for (auto const& id : content.cancels)
+        {
+            this->agent.cancel_ordered(entry.name, id);
+        }
+    }
+
     void apply_snapshot(dispatch::control_snapshot snapshot, std::string_view source)
     {
         if (!this->control_state.update_if_newer(std::move(snapshot)))
--- a/filbertroad/node/agent_node_test.cpp
+++ b/filbertroad/node/agent_node_test.cpp
@@ -132,6 +132,9 @@
     fake_target target{this->io};
     std::shared_ptr<net::link> entry_link;
     bool is_accepting = false;
+    /// Whether the entry echoes the newest timestamp, which extends its lease.
+    bool echoes_stamps = true;
+    std::uint64_t newest_stamp_ms = 0;
     std::vector<dispatch::run_report> reports;
     std::unique_ptr<net::link_server> listener = std::move(
         net::link_server::listen(this->io, "127.0.0.1:0",
@@ -158,7 +161,9 @@
         if (content->status)
         {
             this->is_accepting = content->status->accepting;
-            answer.heartbeat = dispatch::entry_heartbeat{content->status->stamp_ms, 0};
+            this->newest_stamp_ms = content->status->stamp_ms;
+            answer.heartbeat =
+                dispatch::entry_heartbeat{this->echoes_stamps ? this->newest_stamp_ms : 0, 0};
         }
         this->reports.insert(this->reports.end(), content->reports.begin(), content->reports.end());
         link->send(encode_frame(answer, protocol_version));
@@ -201,5 +206,45 @@
     EXPECT_EQ(this->reports.size(), 2U);
 }
 
+// Guards against two runs of a task. An entry that starts the task of a queued run elsewhere,
+// because its agent was silent, cancels the run. The heartbeat in the same frame renews the entry's
+// lease, and must not start the run before it is cancelled.
+TEST_F(agent_node_test, heartbeat_does_not_start_a_run_that_its_frame_cancels)
+{
+    this->echoes_stamps = false;
+    this->io.run_for(milliseconds(700));
+    frame first;
+    first.starts = {make_order("t")};
+    this->send(first);
+    this->io.run_for(milliseconds(100));
+    ASSERT_TRUE(this->reports.empty());
+    frame second;
+    second.heartbeat = dispatch::entry_heartbeat{this->newest_stamp_ms, 0};
+    second.cancels = {{"t", 1}};
+    this->send(second);
+    ASSERT_TRUE(this->wait_for_reports(1));
+    EXPECT_TRUE(this->target.started.empty());
+    EXPECT_EQ(this->reports[0].end, dispatch::run_end::not_started);
+}
+
+// Guards against the same when the entry lists the runs that it still needs.
+TEST_F(agent_node_test, heartbeat_does_not_start_a_run_that_its_frame_no_longer_lists)
+{
+    this->echoes_stamps = false;
+    this->io.run_for(milliseconds(700));
+    frame first;
+    first.starts = {make_order("t")};
+    this->send(first);
+    this->io.run_for(milliseconds(100));
+    ASSERT_TRUE(this->reports.empty());
+    frame second;
+    second.heartbeat = dispatch::entry_heartbeat{this->newest_stamp_ms, 0};
+    second.resume.emplace();
+    this->send(second);
+    ASSERT_TRUE(this->wait_for_reports(1));
+    EXPECT_TRUE(this->target.started.empty());
+    EXPECT_EQ(this->reports[0].end, dispatch::run_end::not_started);
+}
+
 } // namespace
 } // namespace filbertroad::node
