--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -143,7 +143,8 @@
     rejected,
     /// The order was not sent. This says nothing about the target's health.
     not_sent,
-    /// No answer: the order may have been executed, or may still be executed later.
+    /// No answer, or one that does not tell: the order may have been executed, or may still be
+    /// executed later.
     none,
 };
 
