Start no run under a lease that its entry does not wait for

A task could run twice at the same time after a restart of its target. A renewal to the earlier process names a time on a clock that has started anew, so the new process grants the longest lease, 1,000 ms instead of 600 ms. The agent waited for the end of that lease itself, but started runs under it for entries that count on 1,275 ms from their last contact. For an entry that had heard nothing from the agent for over 200 ms, a run whose stop is not executed could outlast that.

A run now starts only if the target's lease ends no later than one that begins at the end of the entry's lease. Without such a restart this always holds, and after one it holds from the next heartbeat of the entry on.

It takes a target that restarts at its address within 400 ms, a link that has lost only the direction to the entry, and a lost stop. Found by reading.

Class: a permission to run that lasts longer than the process that waits for its end assumes.

Evidence: run_agent_test.no_run_starts_under_a_lease_that_its_entry_does_not_wait_for failed before (the run was started).

--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -335,7 +335,7 @@
             this->end_run(task, run_end::not_started, "exceeds the capacity");
             continue;
         }
-        if (!this->has_entry_lease(run.entry))
+        if (!this->has_entry_lease(run.entry) || this->does_lease_outlast(run.entry))
         {
             continue;
         }
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -261,6 +261,9 @@
     /// The clock's epoch if the entry has never had a lease.
     [[nodiscard]] base::steady_time entry_lease_end(std::string_view entry) const;
     [[nodiscard]] bool has_entry_lease(std::string_view entry) const;
+    /// Whether the target's present lease may last longer than one that begins at the end of the
+    /// entry's lease. The entry does not wait so long for the end of its runs.
+    [[nodiscard]] bool does_lease_outlast(std::string_view entry) const;
     /// When `run` has to end: when it was stopped, or when the lease of its entry ends. `run` is
     /// not queued.
     [[nodiscard]] base::steady_time end_due(entry_run const& run) const;
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -189,6 +189,17 @@
     }
 }
 
+bool run_agent::does_lease_outlast(std::string_view entry) const
+{
+    // grant_lease() counts from the last contact, on the slowest clock.
+    auto const since_contact =
+        static_cast<double>((this->limits.target_lease + this->limits.contact_timeout).count()) /
+        this->limits.min_clock_rate;
+    auto const longest =
+        milliseconds(static_cast<std::int64_t>(since_contact) + 1) - this->limits.contact_timeout;
+    return this->leases_expire_at > this->entry_lease_end(entry) + longest;
+}
+
 bool run_agent::is_reachable() const
 {
     return this->listed_incarnation != 0 &&
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -638,6 +638,25 @@
     EXPECT_EQ(this->report("a")->end, run_end::lost);
 }
 
+// Guards against two runs of a task: that lease may last longer than an entry that the agent cannot
+// reach waits for the end of its runs.
+TEST_F(run_agent_test, no_run_starts_under_a_lease_that_its_entry_does_not_wait_for)
+{
+    this->connect("e");
+    this->clock.advance(milliseconds(300));
+    this->renew();
+    auto const sent = this->agent.make_renewal();
+    ++this->incarnation;
+    auto list = this->list();
+    list.clock_ms = 10;
+    this->announce();
+    this->agent.renewal_answered(sent, list);
+    this->order("e", "a", 3'000);
+    EXPECT_TRUE(this->starts.empty());
+    this->heartbeat("e");
+    EXPECT_EQ(this->running(), tasks{"a"});
+}
+
 TEST_F(run_agent_test, runs_of_an_unreachable_target_are_lost_when_its_lease_expires)
 {
     this->connect("e");
