Wait for a lease that an order of an earlier agent gave

A target could hold more runs than its capacity, and a task could run twice at the same time, when an agent and its target had both restarted. An order of the earlier agent to the earlier process of the target, carried out late by the present process, names a time on a clock that has started anew and so gives it the longest lease, 1,000 ms. The present agent knew only the leases that it had granted itself. If the target then fell silent, or did not execute a stop, the agent took the lease for over and the runs for lost up to 400 ms too early, and the entry started their tasks elsewhere.

An agent now waits for the longest lease from its first contact until the target has answered an order with its fencing token, as it does after a restart of the target. In the first second of an agent, runs on a silent target are reported as lost up to 400 ms later.

Evidence: run_agent_test.lease_from_an_order_of_an_earlier_agent_is_waited_for failed before (the run was reported as lost within 1,000 ms).

The fixture of run_agent_test starts after that time, so that its tests see the usual leases; run_agent_test.runs_of_an_unreachable_target_are_lost_when_its_lease_expires relied on them.

--- a/filbertroad/dispatch/agent_fixture.hpp
+++ b/filbertroad/dispatch/agent_fixture.hpp
@@ -28,6 +28,9 @@
     {
         this->announce();
         this->renew();
+        // A lease that an earlier agent may have given is over.
+        this->clock.advance(agent_limits{}.longest_target_lease + milliseconds(100));
+        this->renew();
     }
 
     void announce(bool draining = false)
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -46,7 +46,8 @@
 
 run_agent::run_agent(base::clock const& clock, std::string zone, agent_limits limits,
                      std::uint64_t fencing_token)
-    : clock(clock), zone(std::move(zone)), limits(limits), fencing_token(fencing_token)
+    : clock(clock), zone(std::move(zone)), limits(limits), fencing_token(fencing_token),
+      token_after_restart(fencing_token)
 {
 }
 
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -275,9 +275,9 @@
     /// Returns the end of a lease that begins now, on the target's clock, and extends
     /// `leases_expire_at` to cover it.
     std::uint64_t grant_lease();
-    /// Accounts for a lease that an order to the target's earlier process may have given the
-    /// present one: that order names a time on the clock of the earlier process. `token` is that of
-    /// an order that the target has answered.
+    /// Accounts for a lease that an order to the target's earlier process, also by an earlier
+    /// agent, may have given the present one: that order names a time on the clock of the earlier
+    /// process. `token` is that of an order that the target has answered.
     void cover_lease_of_earlier_orders(std::uint64_t token);
     void enqueue(std::string_view entry, start_order order);
     void start_queued();
@@ -321,8 +321,9 @@
     base::steady_time target_clock_at{};
     /// Time on this agent's clock at which every lease granted so far has expired on the target's.
     base::steady_time leases_expire_at{};
-    /// Set from a restart of the target until it has answered an order with this token or a higher
-    /// one. It refuses orders to its earlier process from then on.
+    /// Set from the start of this agent, and from a restart of the target, until the target has
+    /// answered an order with this token or a higher one. It refuses orders of an earlier agent, or
+    /// to its earlier process, from then on.
     std::optional<std::uint64_t> token_after_restart;
     /// The target runs tasks that this agent did not start; their resources are unknown.
     bool has_unknown_runs = false;
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -657,6 +657,31 @@
     EXPECT_EQ(this->running(), tasks{"a"});
 }
 
+// Guards against two runs of a task, and against starts beyond the capacity: an order of an earlier
+// agent to an earlier process of the target can give the present one the longest lease as well.
+TEST_F(run_agent_test, lease_from_an_order_of_an_earlier_agent_is_waited_for)
+{
+    run_agent restarted(this->clock, "zone-1", {}, 2);
+    restarted.target_announced({"target", 1, "service", this->capacity, false, 1});
+    restarted.renewal_answered(restarted.make_renewal(), this->list());
+    restarted.entry_connected({"e", 1});
+    auto const beat = [&]
+    { restarted.entry_heartbeat_received("e", restarted.make_status("e").stamp_ms); };
+    beat();
+    restarted.start_ordered("e", make_order("a", 3'000));
+    restarted.start_answered({"a", 1}, start_answer::accepted);
+    for (milliseconds passed{}; passed < milliseconds(1'000); passed += milliseconds(25))
+    {
+        this->clock.advance(milliseconds(25));
+        beat();
+        restarted.tick();
+    }
+    EXPECT_FALSE(restarted.is_idle());
+    this->clock.advance(milliseconds(50));
+    restarted.tick();
+    EXPECT_TRUE(restarted.is_idle());
+}
+
 TEST_F(run_agent_test, runs_of_an_unreachable_target_are_lost_when_its_lease_expires)
 {
     this->connect("e");
