Play renewals that targets execute late in the simulated cluster

The simulation dropped a renewal without an answer. The platform's executors may execute it seconds later, and a renewal does not name the process that it is addressed to, so a restarted target takes it as well. Found that way: a new agent that did not wait for a lease of an earlier agent's order.

A second option brings two orders of events closer to the processes: the HTTP server ignores a request whose caller has left, and an agent applies cancels before a later heartbeat.

--- a/filbertroad/dispatch/cluster_property_test.cpp
+++ b/filbertroad/dispatch/cluster_property_test.cpp
@@ -145,5 +145,30 @@
     EXPECT_GT(resubmitted, seed_count);
 }
 
+// Guards against the same, and against a target loaded beyond its capacity, when targets also
+// execute unanswered renewals late, possibly after a restart.
+TEST(cluster_property_test, invariants_hold_when_targets_execute_renewals_late)
+{
+    std::vector<std::uint64_t> seeds(seed_count);
+    std::iota(seeds.begin(), seeds.end(), 1);
+    // An agent and its target restarted, and the target took a renewal of the earlier agent.
+    seeds.push_back(1260);
+    std::size_t completed = 0;
+    for (auto const seed : seeds)
+    {
+        cluster_simulation cluster(seed);
+        cluster.callers_resubmit = true;
+        cluster.executes_late_renewals = true;
+        cluster.orders_input = true;
+        cluster.lost_stop_share = 0.97;
+        cluster.longest_run = milliseconds(900);
+        cluster.run(std::chrono::seconds(15));
+        EXPECT_TRUE(cluster.violations().empty())
+            << "seed " << seed << ": " << cluster.violations().front();
+        completed += cluster.completed();
+    }
+    EXPECT_GT(completed, seed_count);
+}
+
 } // namespace
 } // namespace filbertroad::dispatch
--- a/filbertroad/dispatch/cluster_simulation.cpp
+++ b/filbertroad/dispatch/cluster_simulation.cpp
@@ -270,7 +270,13 @@
             return;
         }
     }
-    auto submitted = [&entry, job = std::move(job)] { entry.core->submit(job); };
+    auto submitted = [this, &entry, job = std::move(job)]
+    {
+        if (!this->orders_input || !entry.abandoned_jobs.contains(job.key))
+        {
+            entry.core->submit(job);
+        }
+    };
     if (this->clock.steady_now() < entry.frozen_until)
     {
         entry.deferred_events.push_back(std::move(submitted));
@@ -401,7 +407,8 @@
         this->carry_out(entry);
         entry.abandoned_jobs.erase(key);
     };
-    if (this->clock.steady_now() < entry.frozen_until)
+    bool const is_request_deferred = this->orders_input && !entry.deferred_events.empty();
+    if (this->clock.steady_now() < entry.frozen_until || is_request_deferred)
     {
         entry.deferred_events.emplace_back(cancelled);
     }
@@ -668,6 +675,10 @@
                                 [this, &agent = *agent, &entry = *entry, status]
                                 {
                                     entry.core->status_received(agent.name, status);
+                                    if (this->orders_input)
+                                    {
+                                        this->carry_out(entry);
+                                    }
                                     this->send_to_agent(agent, entry,
                                                         [&agent, &entry, stamp = status.stamp_ms] {
                                                             agent.core->entry_heartbeat_received(
@@ -848,6 +859,19 @@
     auto& managed_target = *from.managed_target;
     bool const is_lost =
         managed_target.is_unresponsive || (this->delays_orders && this->random_chance(0.2));
+    if (is_lost && this->executes_late_renewals)
+    {
+        this->schedule(this->random_duration(5, 2'000),
+                       [this, &managed_target, sent]
+                       {
+                           if (sent.fencing_token >= managed_target.highest_token)
+                           {
+                               managed_target.highest_token = sent.fencing_token;
+                               managed_target.extend_lease(sent.lease_until_ms.value_or(0),
+                                                           this->clock);
+                           }
+                       });
+    }
     if (!is_lost)
     {
         this->schedule(milliseconds(1),
--- a/filbertroad/dispatch/cluster_simulation.hpp
+++ b/filbertroad/dispatch/cluster_simulation.hpp
@@ -42,6 +42,12 @@
     bool callers_resubmit = false;
     /// Share of the stops that targets leave unanswered and do not execute while they delay orders.
     double lost_stop_share = 0.3;
+    /// Whether targets execute a renewal that they left unanswered later, also when they have
+    /// restarted meanwhile. A renewal does not name the process that it is addressed to.
+    bool executes_late_renewals = false;
+    /// Whether an entry ignores a request whose caller has left before the entry handles it, and
+    /// whether its cancels arrive before a later heartbeat, as in the processes.
+    bool orders_input = false;
     /// Longest run time on a target of speed 1.
     milliseconds longest_run{400};
     ~cluster_simulation();
