--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -46,7 +46,8 @@
 
 run_agent::run_agent(base::clock const& clock, std::string zone, agent_limits limits,
                      std::uint64_t fencing_token)
-    : clock(clock), zone(std::move(zone)), limits(limits), fencing_token(fencing_token)
+    : clock(clock), zone(std::move(zone)), limits(limits), fencing_token(fencing_token),
+      token_after_restart(fencing_token)
 {
 }
 
@@ -89,8 +90,6 @@
     auto& session = this->sessions[entry.name];
     if (session.incarnation != entry.incarnation)
     {
-        session = {};
-        session.incarnation = entry.incarnation;
         this->runs.for_each(
             [&](agent_run& run)
             {
@@ -99,6 +98,8 @@
                     this->stop(run, "entry restarted");
                 }
             });
+        session = {};
+        session.incarnation = entry.incarnation;
         for (auto const& task : this->runs.queued())
         {
             if (this->runs.find(task)->entry == entry.name)
@@ -335,7 +336,7 @@
             this->end_run(task, run_end::not_started, "exceeds the capacity");
             continue;
         }
-        if (!this->has_entry_lease(run.entry))
+        if (!this->has_entry_lease(run.entry) || this->does_lease_outlast(run.entry))
         {
             continue;
         }
@@ -377,7 +378,8 @@
     }
     this->runs.change(run, run_state::stopping);
     run.stop_reason = reason;
-    run.stop_due = this->clock.steady_now();
+    // The entry counts from the end of its lease, which this agent may notice late.
+    run.stop_due = std::min(this->clock.steady_now(), this->entry_lease_end(run.entry));
     this->send_stop(run);
 }
 
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -143,7 +143,8 @@
     rejected,
     /// The order was not sent. This says nothing about the target's health.
     not_sent,
-    /// No answer: the order may have been executed, or may still be executed later.
+    /// No answer, or one that does not tell: the order may have been executed, or may still be
+    /// executed later.
     none,
 };
 
@@ -260,6 +261,9 @@
     /// The clock's epoch if the entry has never had a lease.
     [[nodiscard]] base::steady_time entry_lease_end(std::string_view entry) const;
     [[nodiscard]] bool has_entry_lease(std::string_view entry) const;
+    /// Whether the target's present lease may last longer than one that begins at the end of the
+    /// entry's lease. The entry does not wait so long for the end of its runs.
+    [[nodiscard]] bool does_lease_outlast(std::string_view entry) const;
     /// When `run` has to end: when it was stopped, or when the lease of its entry ends. `run` is
     /// not queued.
     [[nodiscard]] base::steady_time end_due(entry_run const& run) const;
@@ -271,9 +275,9 @@
     /// Returns the end of a lease that begins now, on the target's clock, and extends
     /// `leases_expire_at` to cover it.
     std::uint64_t grant_lease();
-    /// Accounts for a lease that an order to the target's earlier process may have given the
-    /// present one: that order names a time on the clock of the earlier process. `token` is that of
-    /// an order that the target has answered.
+    /// Accounts for a lease that an order to the target's earlier process, also by an earlier
+    /// agent, may have given the present one: that order names a time on the clock of the earlier
+    /// process. `token` is that of an order that the target has answered.
     void cover_lease_of_earlier_orders(std::uint64_t token);
     void enqueue(std::string_view entry, start_order order);
     void start_queued();
@@ -317,8 +321,9 @@
     base::steady_time target_clock_at{};
     /// Time on this agent's clock at which every lease granted so far has expired on the target's.
     base::steady_time leases_expire_at{};
-    /// Set from a restart of the target until it has answered an order with this token or a higher
-    /// one. It refuses orders to its earlier process from then on.
+    /// Set from the start of this agent, and from a restart of the target, until the target has
+    /// answered an order with this token or a higher one. It refuses orders of an earlier agent, or
+    /// to its earlier process, from then on.
     std::optional<std::uint64_t> token_after_restart;
     /// The target runs tasks that this agent did not start; their resources are unknown.
     bool has_unknown_runs = false;
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -526,10 +526,7 @@
     this->connect("e");
     this->order("e", "a", 3'000);
     this->answers_stops = false;
-    agent_limits const limits;
-    auto const latest_end =
-        this->target_clock() +
-        static_cast<std::uint64_t>(limits.entry_lease.count() + limits.target_lease.count());
+    auto const latest_end = this->latest_run_end();
     std::uint64_t end = 0;
     while (this->report("a") == nullptr && this->target_clock() < latest_end + 1'000)
     {
@@ -573,6 +570,51 @@
     EXPECT_FALSE(this->last_lease.has_value());
 }
 
+// Guards against two runs of a task: an agent that restarted renewed the lease of the runs of its
+// earlier process. Their entries start the tasks elsewhere when that lease must have ended.
+TEST_F(run_agent_test, lease_is_not_renewed_beside_runs_of_an_earlier_agent)
+{
+    run_agent restarted(this->clock, "zone-1", {}, 2);
+    this->on_target["foreign"] = 3;
+    restarted.renewal_answered(restarted.make_renewal(), this->list());
+    ASSERT_FALSE(restarted.is_recovered());
+    EXPECT_FALSE(restarted.make_renewal().lease_until_ms.has_value());
+    this->finish("foreign", finish_reason::expired);
+    restarted.renewal_answered(restarted.make_renewal(), this->list());
+    ASSERT_TRUE(restarted.is_recovered());
+    EXPECT_TRUE(restarted.make_renewal().lease_until_ms.has_value());
+}
+
+// Guards against two runs of a task: an agent that was paused stops a run after the lease of its
+// entry has ended, and must not extend the target's lease from then on instead of from that end.
+TEST_F(run_agent_test, late_cancellation_does_not_extend_the_lease)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->answers_stops = false;
+    auto const latest_end = this->latest_run_end();
+    this->advance_time(milliseconds(575), {});
+    this->clock.advance(milliseconds(250));
+    this->agent.cancel_ordered("e", {"a", 1});
+    this->renew();
+    EXPECT_EQ(this->last_lease, latest_end);
+}
+
+// Guards against the same when the agent hears of a restart of the entry before it has stopped the
+// runs of the earlier process, whose callers send their jobs again.
+TEST_F(run_agent_test, late_stop_after_a_restart_of_the_entry_does_not_extend_the_lease)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->answers_stops = false;
+    auto const latest_end = this->latest_run_end();
+    this->advance_time(milliseconds(575), {});
+    this->clock.advance(milliseconds(250));
+    this->agent.entry_connected({"e", 2});
+    this->renew();
+    EXPECT_EQ(this->last_lease, latest_end);
+}
+
 // Guards against two runs of a task: a renewal to the earlier process of a restarted target names a
 // time on that process's clock, and gives the new process the longest lease that it grants.
 TEST_F(run_agent_test, lease_from_an_order_to_the_earlier_process_is_waited_for)
@@ -596,6 +638,50 @@
     EXPECT_EQ(this->report("a")->end, run_end::lost);
 }
 
+// Guards against two runs of a task: that lease may last longer than an entry that the agent cannot
+// reach waits for the end of its runs.
+TEST_F(run_agent_test, no_run_starts_under_a_lease_that_its_entry_does_not_wait_for)
+{
+    this->connect("e");
+    this->clock.advance(milliseconds(300));
+    this->renew();
+    auto const sent = this->agent.make_renewal();
+    ++this->incarnation;
+    auto list = this->list();
+    list.clock_ms = 10;
+    this->announce();
+    this->agent.renewal_answered(sent, list);
+    this->order("e", "a", 3'000);
+    EXPECT_TRUE(this->starts.empty());
+    this->heartbeat("e");
+    EXPECT_EQ(this->running(), tasks{"a"});
+}
+
+// Guards against two runs of a task, and against starts beyond the capacity: an order of an earlier
+// agent to an earlier process of the target can give the present one the longest lease as well.
+TEST_F(run_agent_test, lease_from_an_order_of_an_earlier_agent_is_waited_for)
+{
+    run_agent restarted(this->clock, "zone-1", {}, 2);
+    restarted.target_announced({"target", 1, "service", this->capacity, false, 1});
+    restarted.renewal_answered(restarted.make_renewal(), this->list());
+    restarted.entry_connected({"e", 1});
+    auto const beat = [&]
+    { restarted.entry_heartbeat_received("e", restarted.make_status("e").stamp_ms); };
+    beat();
+    restarted.start_ordered("e", make_order("a", 3'000));
+    restarted.start_answered({"a", 1}, start_answer::accepted);
+    for (milliseconds passed{}; passed < milliseconds(1'000); passed += milliseconds(25))
+    {
+        this->clock.advance(milliseconds(25));
+        beat();
+        restarted.tick();
+    }
+    EXPECT_FALSE(restarted.is_idle());
+    this->clock.advance(milliseconds(50));
+    restarted.tick();
+    EXPECT_TRUE(restarted.is_idle());
+}
+
 TEST_F(run_agent_test, runs_of_an_unreachable_target_are_lost_when_its_lease_expires)
 {
     this->connect("e");
