Send starts only on the link whose hello the shard has applied

A task could be started twice, at two agents, when an agent had reconnected. The second start needs no fault besides the lost link, but an entry with several threads.

An entry made the agent's new link current as soon as its hello had arrived, and applied the hello to the shard after that. Another thread that held the shard's lock in between sent a start on the new link. The hello, which was written before, cannot list that start, so the shard took it as never received and queued the task again, while the agent ran it.

A shard now names the link whose hello it has applied, and the message is dropped if the agent has a newer one. A start that is dropped is missing from the hello and is queued again, truly not received.

--- a/filbertroad/server/entry_core.cpp
+++ b/filbertroad/server/entry_core.cpp
@@ -159,8 +159,9 @@
 shard_callbacks entry_core::make_shard_callbacks()
 {
     shard_callbacks result;
-    result.to_agent = [this](model::process_id const& agent, wire::link_message const& message)
-    { return this->links.send_to_agent(agent, message); };
+    result.to_agent = [this](model::process_id const& agent, std::uint64_t link,
+                             wire::link_message const& message)
+    { return this->links.send_to_agent(agent, link, message); };
     result.lookup =
         [this](shard_id const& id, model::process_id const& member, wire::lookup const& lookup)
     { this->send_lookup_to_peer(id, member, lookup); };
--- a/filbertroad/server/entry_links.cpp
+++ b/filbertroad/server/entry_links.cpp
@@ -386,12 +386,14 @@
     }
 }
 
-bool entry_links::send_to_agent(model::process_id const& agent, wire::link_message const& message)
+bool entry_links::send_to_agent(model::process_id const& agent, std::uint64_t link_number,
+                                wire::link_message const& message)
 {
     link_ptr link;
     {
         lock_guard const guard(this->lock);
-        if (auto const found = this->agents.find(agent); found != this->agents.end())
+        if (auto const found = this->agents.find(agent);
+            found != this->agents.end() && found->second->number() == link_number)
         {
             link = found->second;
         }
--- a/filbertroad/server/entry_links.hpp
+++ b/filbertroad/server/entry_links.hpp
@@ -86,8 +86,11 @@
     /// Closes all links once their queued messages were sent, and makes no new ones.
     void stop();
 
-    /// These return false, and drop the message, if there is no link.
-    bool send_to_agent(model::process_id const& agent, wire::link_message const& message);
+    /// These return false, and drop the message, if there is no link. For an agent this also holds
+    /// if `link_number` is not the number of its newest link: a sender that has not read the hello
+    /// of the newest link would take a start that it sends there as not received.
+    bool send_to_agent(model::process_id const& agent, std::uint64_t link_number,
+                       wire::link_message const& message);
     bool send_to_entry(model::process_id const& entry, wire::link_message const& message);
     void send_to_all_agents(wire::link_message const& message);
     void send_to_all_entries(wire::link_message const& message);
--- a/filbertroad/server/shard_registry.cpp
+++ b/filbertroad/server/shard_registry.cpp
@@ -67,11 +67,11 @@
 void shard_registry::execute_actions(shard_id const& id, hosted_shard& shard,
                                      std::vector<std::function<void()>>& deferred_calls)
 {
-    auto const to_agent = [this](model::process_id const& agent, auto&& fill)
+    auto const to_agent = [&](model::process_id const& agent, auto&& fill)
     {
         wire::link_message message;
         fill(message);
-        this->callbacks.to_agent(agent, message);
+        this->callbacks.to_agent(agent, shard.agent_links[agent], message);
     };
     auto const defer_response =
         [&shard, &deferred_calls](std::uint64_t number, shard_response response)
--- a/filbertroad/server/shard_registry.hpp
+++ b/filbertroad/server/shard_registry.hpp
@@ -44,7 +44,10 @@
 /// How the shards reach other processes and the control state.
 struct shard_callbacks
 {
-    std::function<bool(model::process_id const&, wire::link_message const&)> to_agent;
+    /// Sends a message to an agent, unless the agent has a newer link than `link`, the newest one
+    /// whose hello the shard has applied.
+    std::function<bool(model::process_id const&, std::uint64_t link, wire::link_message const&)>
+        to_agent;
     /// Sends a lookup to a member; the reply arrives through shard_registry::lookup_answered().
     std::function<void(shard_id const&, model::process_id const&, wire::lookup const&)> lookup;
     /// Whether the control state is confirmed as the newest.
--- a/filbertroad/server/shard_registry_test.cpp
+++ b/filbertroad/server/shard_registry_test.cpp
@@ -1,10 +1,15 @@
 #include "filbertroad/server/shard_registry.hpp"
 
 #include "filbertroad/base/hash.hpp"
+#include "filbertroad/net/internal/run_until.hpp"
 #include "filbertroad/wire/id_conversions.hpp"
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
 namespace filbertroad::server
 {
 namespace
@@ -21,12 +26,9 @@
 protected:
     shard_registry_fixture()
         : shards(this->clock, self, {}, 1000,
-                 {.to_agent =
-                      [this](model::process_id const&, wire::link_message const& message)
-                  {
-                      this->sent.push_back(message);
-                      return true;
-                  },
+                 {.to_agent = [this](model::process_id const& agent, std::uint64_t link,
+                                     wire::link_message const& message)
+                  { return this->send_to_agent(agent, link, message); },
                   .lookup = [](shard_id const&, model::process_id const&, wire::lookup const&) {},
                   .is_confirmed = [] { return true; }})
     {
@@ -63,6 +65,13 @@
         this->clock.advance(seconds(20));
     }
 
+    virtual bool send_to_agent(model::process_id const& /*agent*/, std::uint64_t /*link*/,
+                               wire::link_message const& message)
+    {
+        this->sent.push_back(message);
+        return true;
+    }
+
     void apply(wire::control_record const& record)
     {
         auto const applied =
@@ -186,6 +195,90 @@
     EXPECT_EQ(this->answers.size(), 1U);
 }
 
+/// The same with real links: the agent answers each link of the entry with its hello.
+class linked_shard_registry_fixture : public shard_registry_fixture
+{
+protected:
+    linked_shard_registry_fixture() : links(this->io, this->clock, {}, this->link_callbacks()) {}
+
+    entry_link_callbacks link_callbacks()
+    {
+        entry_link_callbacks callbacks;
+        callbacks.make_agent_state = [this]
+        {
+            if (this->before_agent_linked)
+            {
+                this->before_agent_linked();
+            }
+            return wire::agent_state();
+        };
+        callbacks.agent_linked = [this](linked_agent const& agent)
+        {
+            this->shards.agent_linked(this->state, agent);
+            ++this->hellos;
+        };
+        callbacks.agent_unlinked = [this](model::process_id const& agent, std::uint64_t link)
+        { this->shards.agent_unlinked(agent, link); };
+        callbacks.link_error = [](std::string const&) {};
+        return callbacks;
+    }
+
+    bool send_to_agent(model::process_id const& agent, std::uint64_t link,
+                       wire::link_message const& message) override
+    {
+        return this->links.send_to_agent(agent, link, message);
+    }
+
+    /// Opens a link to the agent and waits until its hello has been applied.
+    void open_link()
+    {
+        auto& agent = this->agents.emplace_back(
+            net::link_server::listen(this->io, "127.0.0.1:0",
+                                     {.on_open = [](std::shared_ptr<net::link> const&) {},
+                                      .on_message = [this](std::shared_ptr<net::link> const& link,
+                                                           wire::link_message& message)
+                                      { this->agent_received(*link, message); },
+                                      .on_closed = [](std::shared_ptr<net::link> const&,
+                                                      base::error<net::net_error> const&) {}})
+                .value());
+        auto const expected = this->hellos + 1;
+        this->links.connect_seeds({"127.0.0.1:" + std::to_string(agent->port())});
+        this->links.tick();
+        ASSERT_TRUE(net::internal::run_until(this->io, [&] { return this->hellos == expected; }));
+    }
+
+    void agent_received(net::link& link, wire::link_message const& message)
+    {
+        if (message.has_entry_hello())
+        {
+            wire::link_message hello;
+            *hello.mutable_agent_hello() = this->hello(0).hello;
+            link.send(hello);
+        }
+        this->sent.push_back(message);
+    }
+
+    boost::asio::io_context io;
+    std::vector<std::unique_ptr<net::link_server>> agents;
+    std::function<void()> before_agent_linked;
+    int hellos = 0;
+    entry_links links;
+};
+
+// Guards against starting a task twice when another thread sends its start on the agent's new link
+// before the hello of that link, which cannot list the start, has been applied.
+TEST_F(linked_shard_registry_fixture, start_between_hello_and_its_application_is_sent_once)
+{
+    this->open_link();
+    this->before_agent_linked = [this] { this->submit(); };
+    this->open_link();
+    this->tick();
+    ASSERT_TRUE(net::internal::run_until(this->io, [this] { return !this->starts().empty(); }));
+    this->io.restart();
+    this->io.run_for(std::chrono::milliseconds(200));
+    EXPECT_EQ(this->starts().size(), 1U);
+}
+
 // Guards against trusting the reply "not held" of a member whose tables are older than those of the
 // requester.
 TEST_F(shard_registry_fixture, lookup_from_newer_state_is_not_answered_as_current)
