Count the age of a confirmation until the reply to a probe is sent

Tasks could start in a zone that had been taken out of service, and two owners could accept one key, for longer than the 2 s of a confirmation: entries that cannot read the log confirm each other through probes.

The reply to a probe was prepared up to 50 ms earlier, at the last tick, and carried the confirmation's age of that moment. The requester counts the age from the time of its probe, so that each reply made the evidence younger by the time since it was prepared, and the gain was passed on with the next reply. A process that resumed from a pause answered with an age from before the pause, however long it was, until its first tick. The replies to agents (pong) were computed at each call already.

The age in the reply now includes the time since it was prepared, and a reply whose confirmation has run out does not confirm.

The partition tests did not show it, since they compute each reply when it is sent.

--- a/filbertroad/server/control_state_controller.cpp
+++ b/filbertroad/server/control_state_controller.cpp
@@ -343,6 +343,7 @@
         std::lock_guard const guard(this->shared_lock);
         this->shared_probe_reply = this->confirmation.make_probe_reply(now);
         this->shared_probe_reply.set_zone(this->self.zone());
+        this->shared_probe_reply_at = now;
         this->shared_source = source;
     }
     if (source != std::exchange(this->last_source, source))
@@ -391,7 +392,20 @@
 wire::probe_reply control_state_controller::probe_reply() const
 {
     std::lock_guard const guard(this->shared_lock);
-    return this->shared_probe_reply;
+    auto reply = this->shared_probe_reply;
+    if (!reply.confirmed())
+    {
+        return reply;
+    }
+    // The age grows until the reply is sent. Otherwise entries without the log would make the
+    // evidence of each other younger with each reply, and a process that resumes from a pause would
+    // pass on an expired confirmation.
+    auto const age = std::chrono::milliseconds(reply.confirmation_age_ms()) +
+                     std::chrono::ceil<std::chrono::milliseconds>(this->clock.steady_now() -
+                                                                  this->shared_probe_reply_at);
+    reply.set_confirmed(age <= control::confirmation_max_age);
+    reply.set_confirmation_age_ms(reply.confirmed() ? static_cast<std::uint32_t>(age.count()) : 0);
+    return reply;
 }
 
 control::confirmation_source control_state_controller::source() const
--- a/filbertroad/server/control_state_controller.hpp
+++ b/filbertroad/server/control_state_controller.hpp
@@ -186,6 +186,7 @@
     state_ptr shared_state;
     base::system_time shared_tables_changed;
     wire::probe_reply shared_probe_reply;
+    base::steady_time shared_probe_reply_at{};
     control::confirmation_source shared_source = control::confirmation_source::none;
     std::atomic<std::int64_t> confirmed_at_ns{0};
 };
