Keep acknowledged starts in the ledger while a slow clock accepts their key

A task could run twice, 15 minutes apart at most: its owner is removed at the end of the key's retention, and the caller sends the job again to an owner whose clock is behind.

An owner accepts a key until it is 15 minutes old by its own clock, which may be up to 5 s behind the caller's. The agent dropped the start 15 minutes after its acknowledgement, which may follow the key's creation at once. For the last 5 s the key was accepted, and no ledger reported the task to the new owner. The table of jobs of an owner and the recovered jobs have been kept for twice the clock skew longer; the ledger was not.

The ledger now keeps acknowledged starts for key_retention and twice the clock skew.

Evidence: agent_core_test.task_does_not_run_twice_while_a_slow_clock_accepts_its_key failed before (running(), which is 1; expected 0).

--- a/filbertroad/execution/agent_core.hpp
+++ b/filbertroad/execution/agent_core.hpp
@@ -30,9 +30,12 @@
 struct agent_options
 {
     std::chrono::milliseconds confirmation_max_age{2000};
-    /// Acknowledged starts stay in the ledger for this long, so that late duplicates do not start
-    /// the task again.
+    /// Acknowledged starts stay in the ledger for this long plus twice the clock skew, so that late
+    /// duplicates do not start the task again.
     std::chrono::milliseconds key_retention{15 * 60 * 1000};
+    /// Largest difference between the clocks of callers and owners. An owner whose clock is behind
+    /// accepts a key for longer than key_retention.
+    std::chrono::milliseconds clock_skew{5000};
     std::size_t max_ledger_entries = 200'000;
     /// Maximum size of the ledger. Beyond it, acknowledged results are evicted, oldest first, while
     /// the identities of their starts are kept. If that does not suffice, new starts are refused.
--- a/filbertroad/execution/agent_core_test.cpp
+++ b/filbertroad/execution/agent_core_test.cpp
@@ -257,6 +257,22 @@
     EXPECT_EQ(this->core.ledger_entries(), 0U);
 }
 
+// Guards against a second run of a task that an owner whose clock is 5 s behind the caller's still
+// accepts, when the owner that started it was removed at the end of the key's retention.
+TEST_F(agent_core_test, task_does_not_run_twice_while_a_slow_clock_accepts_its_key)
+{
+    this->start("e1", 0);
+    this->finish_task(0, "");
+    this->acknowledge("e1", 0);
+    this->advance_time(std::chrono::minutes(15) + std::chrono::seconds(9));
+    this->announce(false);
+    this->link("e2");
+    this->start("e2", 0);
+    EXPECT_EQ(this->core.running(), 0U);
+    this->start("e2", 1);
+    EXPECT_EQ(this->core.running(), 1U);
+}
+
 // Guards against starts on a target that is leaving, also if an earlier announcement arrives late.
 TEST_F(agent_core_test, leaving_target_gets_no_starts)
 {
--- a/filbertroad/execution/internal/ledger.cpp
+++ b/filbertroad/execution/internal/ledger.cpp
@@ -153,8 +153,8 @@
 
 void ledger::expire(base::steady_time now)
 {
-    while (!this->acknowledged.empty() &&
-           now - this->acknowledged.front().at >= this->options.key_retention)
+    auto const keep_for = this->options.key_retention + 2 * this->options.clock_skew;
+    while (!this->acknowledged.empty() && now - this->acknowledged.front().at >= keep_for)
     {
         auto const entry = this->acknowledged.front();
         this->acknowledged.pop_front();
--- a/filbertroad/execution/internal/ledger.hpp
+++ b/filbertroad/execution/internal/ledger.hpp
@@ -87,8 +87,9 @@
     /// Makes `sender` the recipient. A result that was already acknowledged becomes open again.
     void duplicate_start_received(task_identity const& task, model::process_id const& sender,
                                   base::steady_time now);
-    /// Removes acknowledged entries after key_retention, and results that were never acknowledged
-    /// after twice that time, when no owner accepts their keys any more.
+    /// Removes acknowledged entries after key_retention and twice the clock skew, and results that
+    /// were never acknowledged after twice key_retention, when no owner accepts their keys any
+    /// more.
     void expire(base::steady_time now);
 
     /// The tasks that are open: running, or finished and not acknowledged.
