Let confirmations expire while the machine is suspended

A task could start in a zone that had been taken out of service while the machine of its agent was suspended: for up to 2 s after it resumed, the agent accepted starts that had waited in its socket buffers, and an entry accepted keys and sent starts.

Entries and agents measured the age of their confirmation with the steady clock of the C++ library, which stands still while the machine is suspended. The start passed to the target carries a time of the wall clock, but computed after the resumption.

The test moves CLOCK_BOOTTIME by 61 s beside a clock of 60 s for the confirmation; no machine was suspended.

--- a/filbertroad/server/agent_process_test.cpp
+++ b/filbertroad/server/agent_process_test.cpp
@@ -2,16 +2,42 @@
 
 #include "filbertroad/net/http.hpp"
 #include "filbertroad/net/link.hpp"
+#include "filbertroad/server/run.hpp"
 #include "filbertroad/wire/id_conversions.hpp"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <condition_variable>
+#include <ctime>
 #include <deque>
 #include <mutex>
 #include <optional>
+#include <sys/syscall.h>
 #include <thread>
+#include <unistd.h>
+
+namespace
+{
+
+/// Seconds for which clock_gettime() shows the machine as suspended.
+std::atomic<std::time_t> suspended_seconds{0};
+
+} // namespace
+
+/// Replaces the function of the C library in this program. A suspension moves CLOCK_BOOTTIME only;
+/// CLOCK_MONOTONIC stands still.
+extern "C" int clock_gettime(clockid_t id, timespec* time) noexcept
+{
+    auto const result = static_cast<int>(syscall(SYS_clock_gettime, id, time));
+    if (result == 0 && id == CLOCK_BOOTTIME)
+    {
+        time->tv_sec += suspended_seconds;
+    }
+    return result;
+}
 
 namespace filbertroad::server
 {
@@ -114,7 +140,7 @@
             *reply.mutable_state()->add_members() = this->self();
             link->send(reply);
         }
-        if (message.has_ping())
+        if (message.has_ping() && this->answers_pings)
         {
             reply.mutable_pong()->set_confirmed(true);
             reply.mutable_pong()->set_state_offset(1);
@@ -204,7 +230,8 @@
         this->responders.pop_front();
     }
 
-    base::machine_clock clock;
+    role_clock clock;
+    std::atomic<bool> answers_pings{true};
     telemetry::null_event_log log;
     null_span_writer spans;
     boost::asio::io_context io;
@@ -252,6 +279,30 @@
     EXPECT_EQ(this->starts.size(), 1U);
 }
 
+// Guards against a start that arrives at a machine that was suspended for longer than its agent's
+// confirmation holds: the zone may have been taken out of service meanwhile.
+TEST_F(agent_process_test, start_after_a_suspension_is_not_run)
+{
+    ASSERT_TRUE(this->wait_for([this] { return this->pongs >= 2; }));
+    this->answers_pings = false;
+    {
+        std::lock_guard const guard(this->lock);
+        this->messages.clear();
+    }
+    suspended_seconds += 61;
+    this->send_start(0);
+    // The agent refuses the start, or has already closed the link as silent.
+    EXPECT_TRUE(this->wait_for(
+        [this]
+        {
+            return !this->starts.empty() ||
+                   std::any_of(this->messages.begin(), this->messages.end(),
+                               [](wire::link_message const& message)
+                               { return message.has_refused() || message.has_agent_hello(); });
+        }));
+    EXPECT_TRUE(this->starts.empty());
+}
+
 // Guards against a graceful shutdown that aborts a running task or accepts new tasks.
 TEST_F(agent_process_test, shutdown_does_not_abort_running_tasks_or_accept_new_ones)
 {
--- a/filbertroad/server/run_agent.cpp
+++ b/filbertroad/server/run_agent.cpp
@@ -16,7 +16,7 @@
     {
         return EXIT_FAILURE;
     }
-    base::machine_clock const clock;
+    role_clock const clock;
     auto& events = *telemetry->log;
     events.write(telemetry::events::process_started,
                  {{"role", "agent"}, {"pid", std::to_string(getpid())}, {"zone", settings.zone}});
