Remember removed owners and agents while their keys are accepted

A task could run twice: a caller whose clock is up to 5 s ahead sends a job again 15 minutes after its owner was removed, and the agent that ran it did not answer since.

The answer to such a job is "may have run", as long as the removed owner is in the list of those removed within the key's retention, with the agents registered within it. That time began with the removal, by the owner's clock, while the age of a key counts from the caller's clock. For up to 5 s the key was accepted although the owner was forgotten, with it the lost ledger, and the job was started as a new one.

The lists now reach back by twice the clock skew more, like the table of jobs.

Evidence: shard_registry_fixture.key_that_a_removed_owner_may_hold_stays_in_doubt failed before (starts().size(), which is 1; expected 0).

--- a/filbertroad/server/shard_registry.cpp
+++ b/filbertroad/server/shard_registry.cpp
@@ -151,11 +151,15 @@
     this->tables_loaded = this->tables_loaded || state.routes_version() > 0;
 }
 
+base::system_time shard_registry::oldest_key_time() const
+{
+    return this->clock.system_now() - this->options.key_retention - 2 * this->options.clock_skew;
+}
+
 submission::ownership shard_registry::common_ownership(control::control_state const& state) const
 {
     submission::ownership common;
-    common.removed =
-        state.members_removed_since(this->clock.system_now() - this->options.key_retention);
+    common.removed = state.members_removed_since(this->oldest_key_time());
     for (auto const& member : state.members())
     {
         if (auto const id = wire::to_model(member.id()); id != this->self)
@@ -210,8 +214,7 @@
     {
         registered.insert(wire::to_model(agent.id()));
     }
-    ownership.agents = state.agents_registered_since(id.service, this->clock.system_now() -
-                                                                     this->options.key_retention);
+    ownership.agents = state.agents_registered_since(id.service, this->oldest_key_time());
     for (auto const& agent : ownership.agents)
     {
         if (auto const name = wire::to_model(agent.id()); !registered.contains(name))
--- a/filbertroad/server/shard_registry.hpp
+++ b/filbertroad/server/shard_registry.hpp
@@ -122,6 +122,9 @@
     };
 
     void record_table_changes(control::control_state const& state);
+    /// The earliest time, by the clock of any owner, at which a key that is still accepted may have
+    /// been submitted.
+    [[nodiscard]] base::system_time oldest_key_time() const;
     submission::ownership common_ownership(control::control_state const& state) const;
     void apply_to_shard(control::control_state const& state, shard_id const& id,
                         hosted_shard& shard, submission::ownership ownership);
--- a/filbertroad/server/shard_registry_test.cpp
+++ b/filbertroad/server/shard_registry_test.cpp
@@ -93,11 +93,16 @@
     }
 
     void submit()
+    {
+        this->submit(std::to_string(base::to_unix_ms(this->clock.system_now())) + "-a");
+    }
+
+    void submit(std::string const& key)
     {
         wire::submit_request request;
         auto& job = *request.mutable_job();
         job.set_route("stock");
-        job.set_key(std::to_string(base::to_unix_ms(this->clock.system_now())) + "-a");
+        job.set_key(key);
         job.set_team("demo");
         job.set_digest(base::sha256("body"));
         job.add_tasks()->set_payload("p");
@@ -195,6 +200,31 @@
     EXPECT_EQ(this->answers.size(), 1U);
 }
 
+// Guards against a second run of a task whose key, from a caller's clock that is ahead, is accepted
+// for longer than the removed owner that may have started it is remembered.
+TEST_F(shard_registry_fixture, key_that_a_removed_owner_may_hold_stays_in_doubt)
+{
+    this->shards.agent_linked(this->state, this->hello(2));
+    model::process_id const other_entry{"entry-2", 1};
+    wire::control_record record;
+    *record.mutable_joined()->mutable_entry()->mutable_id() = wire::to_wire(other_entry);
+    record.mutable_joined()->mutable_entry()->set_zone("khi-b");
+    this->apply(record);
+    this->shards.apply_state(this->state, {});
+    auto const key = std::to_string(base::to_unix_ms(this->clock.system_now()) + 4000) + "-a";
+    *record.mutable_left()->mutable_entry() = wire::to_wire(other_entry);
+    this->apply(record);
+    this->shards.apply_state(this->state, {});
+    // The agent does not answer the fence, so that its ledger counts as lost.
+    this->clock.advance(std::chrono::minutes(14));
+    this->tick();
+    this->clock.advance(std::chrono::seconds(60));
+    this->shards.apply_state(this->state, {});
+    this->submit(key);
+    ASSERT_EQ(this->answers.size(), 1U);
+    EXPECT_EQ(this->starts().size(), 0U);
+}
+
 /// The same with real links: the agent answers each link of the entry with its hello.
 class linked_shard_registry_fixture : public shard_registry_fixture
 {
