Count only registered agents for the outage mode of an entry

Two owners could accept one key while the log was cut off from a part of a region: an entry is in outage mode only if it is linked with more than half of the registered agents, since a view without it needs promises of more than half of them. The process counted all agents with a link, registered or not.

An agent that has promised to refuse an entry and restarts does not know of the promise. Its new process links to the entry and was counted, while the promise of the earlier one counts for the new view. An agent that the entry's state does not know was counted too.

The count is now of agents that the state lists with the same incarnation, as section 6 of docs/design.md says and the simulation of a region does. An agent that restarts while the log cannot be read no longer counts; if more than half of them do, the entries stop. While the log can be read nothing is counted, since thousands of comparisons every 100 ms would take a part of a core and only the outage mode uses them.

Evidence: control_state_controller_test.restarted_agent_does_not_support_the_outage_mode fails when all linked agents are counted, which is the behaviour before (is_confirmed() is true), and control_state.restarted_or_unknown_agents_do_not_count_as_registered gives 4 instead of 1 with the registration ignored. Two owners of one key were not reproduced: the simulation of a region restarts no agents.

--- a/filbertroad/control/control_queries.cpp
+++ b/filbertroad/control/control_queries.cpp
@@ -329,6 +329,20 @@
     return this->agent_list;
 }
 
+std::size_t control_state::count_registered(std::span<model::process_id const> ids) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        ids.begin(), ids.end(),
+        [this](model::process_id const& id)
+        {
+            auto const known =
+                std::lower_bound(this->agent_list.begin(), this->agent_list.end(), id.name,
+                                 [](wire::agent const& agent, std::string const& name)
+                                 { return agent.id().name() < name; });
+            return known != this->agent_list.end() && wire::to_model(known->id()) == id;
+        }));
+}
+
 std::vector<wire::agent> control_state::agents_registered_since(std::string_view service,
                                                                 base::system_time since) const
 {
--- a/filbertroad/control/control_state.hpp
+++ b/filbertroad/control/control_state.hpp
@@ -115,6 +115,8 @@
     [[nodiscard]] std::vector<wire::service_state> targets() const;
 
     [[nodiscard]] std::span<wire::agent const> agents() const;
+    /// How many of `ids` are registered, with the same incarnation.
+    [[nodiscard]] std::size_t count_registered(std::span<model::process_id const> ids) const;
     /// Agents of `service` that have been registered at any time since `since`.
     [[nodiscard]] std::vector<wire::agent> agents_registered_since(std::string_view service,
                                                                    base::system_time since) const;
--- a/filbertroad/control/control_state_test.cpp
+++ b/filbertroad/control/control_state_test.cpp
@@ -427,6 +427,21 @@
     EXPECT_TRUE(log.state.agents().empty());
 }
 
+// Guards against an outage mode that counts a restarted agent: its earlier process may have
+// promised another entry to refuse this one, and the new process does not know of that promise.
+TEST(control_state, restarted_or_unknown_agents_do_not_count_as_registered)
+{
+    log_model log;
+    wire::control_record joined;
+    for (auto const* name : {"g1", "g2", "g3"})
+    {
+        *joined.mutable_agents_in()->add_agents()->mutable_id() = make_id(name, 2);
+    }
+    log.append(joined);
+    std::vector<model::process_id> const linked{{"g0", 1}, {"g1", 2}, {"g1", 3}, {"g2", 3}};
+    EXPECT_EQ(log.state.count_registered(linked), 1U);
+}
+
 // Guards against agents that wait for a state that is never sent to them, because a record that
 // does not concern agents moved the offset in pongs.
 TEST(control_state, agent_offset_moves_only_with_members_zones_and_targets)
--- a/filbertroad/server/control_state_controller.cpp
+++ b/filbertroad/server/control_state_controller.cpp
@@ -443,11 +443,15 @@
                       { this->membership.agent_unlinked(agent, this->clock.steady_now()); });
 }
 
-void control_state_controller::set_linked_agents(std::size_t count)
+void control_state_controller::set_linked_agents(std::vector<model::process_id> linked)
 {
-    boost::asio::post(
-        this->strand, [this, count]
-        { this->confirmation.set_linked_agents(count, this->current.agents().size()); });
+    boost::asio::post(this->strand,
+                      [this, linked = std::move(linked)]
+                      {
+                          this->confirmation.set_linked_agents(
+                              this->current.count_registered(linked),
+                              this->current.agents().size());
+                      });
 }
 
 void control_state_controller::promise_received(wire::promise const& promise)
--- a/filbertroad/server/control_state_controller.hpp
+++ b/filbertroad/server/control_state_controller.hpp
@@ -110,9 +110,9 @@
     /// An agent with a target is linked to this entry and has to be registered.
     void agent_linked(wire::agent const& agent);
     void agent_unlinked(model::process_id const& agent);
-    /// Sets the number of agents that are linked to this entry; see
-    /// entry_confirmation::set_linked_agents().
-    void set_linked_agents(std::size_t count);
+    /// Sets the agents that are linked to this entry, of which only the registered ones count; see
+    /// entry_confirmation::set_linked_agents(). While the log can be read, the list may be empty.
+    void set_linked_agents(std::vector<model::process_id> linked);
     /// An agent has replied to request_promises.
     void promise_received(wire::promise const& promise);
     /// A peer has replied to a probe that was sent at `sent_at`; fetches its state if it is newer.
--- a/filbertroad/server/control_state_controller_test.cpp
+++ b/filbertroad/server/control_state_controller_test.cpp
@@ -15,8 +15,8 @@
 
 using namespace std::chrono_literals;
 
-/// A log that never answers.
-class silent_log final : public net::log_client
+/// A log that cannot be reached.
+class unreachable_log final : public net::log_client
 {
 public:
     void append(std::string /*record*/,
@@ -24,8 +24,9 @@
     {
     }
     void read(std::uint64_t /*from*/, std::chrono::milliseconds /*wait*/,
-              std::function<void(net::read_result)> /*handler*/) override
+              std::function<void(net::read_result)> handler) override
     {
+        handler(base::error<net::log_error>{net::log_error::unavailable, "not reachable"});
     }
 };
 
@@ -50,10 +51,14 @@
             callbacks.state_changed = [](state_ptr const&, control::apply_result const&) {};
             callbacks.confirmation_changed = [](control::confirmation_source) {};
             callbacks.fetch_state = [](model::process_id const&) {};
+            callbacks.send_probes = [] {};
             this->entries.push_back(std::make_unique<control_state_controller>(
                 this->io, this->clock, this->log, member, control::membership_options(),
                 callbacks));
         }
+        wire::control_record agents;
+        *agents.mutable_agents_in()->add_agents()->mutable_id() = wire::to_wire({"agent-1", 1});
+        state.apply(state.next_offset(), agents, this->clock.system_now());
         this->offset = state.version();
         for (auto const& entry : this->entries)
         {
@@ -109,7 +114,7 @@
 
     base::manual_clock clock;
     boost::asio::io_context io;
-    silent_log log;
+    unreachable_log log;
     std::vector<std::unique_ptr<control_state_controller>> entries;
     std::uint64_t offset = 0;
 };
@@ -159,5 +164,26 @@
     }
 }
 
+// Guards against an outage mode that rests on a restarted agent: its earlier process may have
+// promised another entry to refuse this one.
+TEST_F(control_state_controller_test, restarted_agent_does_not_support_the_outage_mode)
+{
+    auto& entry = *this->entries[0];
+    entry.start();
+    this->run();
+    entry.set_linked_agents({{"agent-1", 2}});
+    wire::probe_reply reply;
+    reply.set_state_offset(this->offset);
+    for (std::size_t peer = 1; peer < entry_count; ++peer)
+    {
+        entry.probe_answered(id_of(peer), reply, this->clock.steady_now());
+    }
+    this->run();
+    EXPECT_FALSE(entry.is_confirmed());
+    entry.set_linked_agents({{"agent-1", 1}});
+    this->refresh(0, 1);
+    EXPECT_TRUE(entry.is_confirmed());
+}
+
 } // namespace
 } // namespace filbertroad::server
--- a/filbertroad/server/entry_core.cpp
+++ b/filbertroad/server/entry_core.cpp
@@ -86,8 +86,11 @@
     }
     this->links.tick();
     this->peers.tick();
+    // Only an outage of the log needs the agents, and to compare thousands takes milliseconds.
     this->state_controller.set_linked_agents(
-        this->links.linked_agent_count(control::agent_link_max_age));
+        this->state_controller.probe_reply().log_readable()
+            ? std::vector<model::process_id>()
+            : this->links.active_agents(control::agent_link_max_age));
     this->update_metrics();
 }
 
@@ -294,7 +297,7 @@
     // The replies must not be evaluated with a count of agents from before a pause of this
     // process.
     this->state_controller.set_linked_agents(
-        this->links.linked_agent_count(control::agent_link_max_age));
+        this->links.active_agents(control::agent_link_max_age));
     auto const sent_at = this->clock.steady_now();
     wire::request request;
     request.mutable_probe();
--- a/filbertroad/server/entry_links.cpp
+++ b/filbertroad/server/entry_links.cpp
@@ -474,14 +474,19 @@
     return result;
 }
 
-std::size_t entry_links::linked_agent_count(std::chrono::milliseconds age) const
+std::vector<model::process_id> entry_links::active_agents(std::chrono::milliseconds age) const
 {
     auto const now = this->clock.steady_now();
     lock_guard const guard(this->lock);
-    return static_cast<std::size_t>(
-        std::count_if(this->connections.begin(), this->connections.end(),
-                      [&](auto const& item)
-                      { return item.second.agent && now - item.second.last_activity_at <= age; }));
+    std::vector<model::process_id> result;
+    for (auto const& [number, connection] : this->connections)
+    {
+        if (connection.agent && now - connection.last_activity_at <= age)
+        {
+            result.push_back(wire::to_model(connection.agent->id()));
+        }
+    }
+    return result;
 }
 
 net::link_counters entry_links::counters() const
--- a/filbertroad/server/entry_links.hpp
+++ b/filbertroad/server/entry_links.hpp
@@ -97,8 +97,8 @@
 
     [[nodiscard]] std::vector<model::process_id> linked_entries() const;
     [[nodiscard]] std::vector<linked_agent> linked_agents() const;
-    /// Number of agents that have sent any message within the last `age`.
-    [[nodiscard]] std::size_t linked_agent_count(std::chrono::milliseconds age) const;
+    /// The agents that have sent any message within the last `age`.
+    [[nodiscard]] std::vector<model::process_id> active_agents(std::chrono::milliseconds age) const;
     /// Sums over all links, including closed ones.
     [[nodiscard]] net::link_counters counters() const;
 
--- a/filbertroad/server/entry_status.cpp
+++ b/filbertroad/server/entry_status.cpp
@@ -106,7 +106,7 @@
     metrics.add_gauge("filbertroad_confirmed", "1 while the control state is confirmed.")
         .set(this->state_controller.is_confirmed() ? 1 : 0);
     metrics.add_gauge("filbertroad_linked_agents", "Agents with a link to this entry.")
-        .set(static_cast<double>(this->links.linked_agent_count(control::agent_link_max_age)));
+        .set(static_cast<double>(this->links.active_agents(control::agent_link_max_age).size()));
     wire::status_reply status;
     this->local_shards.add_status(status);
     for (auto const& queue : status.queues())
