Repeat a cancellation on the agent's next link

A cancelled job ran on to its end when the agent's link was down at the moment of the cancellation, or was lost before the agent had read it. Nothing ran twice: the owner waited for the result. But the targets went on with work that nobody wanted.

The cancellation was sent once, to linked agents only, and the next hello of the agent, which lists the running task, did not lead to another.

A hello that lists a task of a job whose cancellation was requested is now answered by the cancellation. It is harmless if the agent has it already.

Evidence: shard_owner_test.repeats_a_cancellation_on_the_next_link failed before (take<send_cancel>().size(), which is 0; expected 1, for both losses).

--- a/filbertroad/submission/agents.cpp
+++ b/filbertroad/submission/agents.cpp
@@ -206,11 +206,18 @@
     {
         this->alternate_holders[{known_task.scheduler_job_id, task.index()}] = {agent.id, view};
     }
-    else if (known_task.agent == &agent &&
-             this->apply(*job, task.index(), internal::task_event::observed_running))
+    else if (known_task.agent == &agent)
     {
-        this->record_history(*job, task.index(), internal::history_event::running,
-                             agent.target.name());
+        if (this->apply(*job, task.index(), internal::task_event::observed_running))
+        {
+            this->record_history(*job, task.index(), internal::history_event::running,
+                                 agent.target.name());
+        }
+        // The cancellation may have been lost with the previous link.
+        if (job->content->cancel_requested)
+        {
+            this->send_cancel_of(*job, task.index());
+        }
     }
 }
 
--- a/filbertroad/submission/internal/owner_state.hpp
+++ b/filbertroad/submission/internal/owner_state.hpp
@@ -92,6 +92,8 @@
                         bool with_history);
     void answer_report(std::uint64_t number, internal::job const& job, bool with_history);
     void cancel_tasks(internal::job& job);
+    /// Sends the cancellation of a task that is at an agent, if the agent is linked.
+    void send_cancel_of(internal::job const& job, std::uint32_t index);
     [[nodiscard]] bool has_memory_for(std::size_t bytes, std::uint32_t tasks) const;
 
     // Key lookups.
--- a/filbertroad/submission/queries.cpp
+++ b/filbertroad/submission/queries.cpp
@@ -160,6 +160,17 @@
     this->outbox.answer(number, this->report(job, with_history));
 }
 
+void shard_owner::state::send_cancel_of(internal::job const& job, std::uint32_t index)
+{
+    auto const& agent = *job.content->tasks[index].agent;
+    if (agent.linked)
+    {
+        send_cancel request{.agent = agent.id, .cancel = {}};
+        *request.cancel.mutable_task() = wire::make_task_ref(job.id(), index);
+        this->outbox.add(std::move(request));
+    }
+}
+
 void shard_owner::state::cancel_tasks(internal::job& job)
 {
     if (job.has_ended())
@@ -171,12 +182,9 @@
     this->record_history(job, internal::whole_job, internal::history_event::cancel_requested);
     for (std::uint32_t i = 0; i < job.task_count; ++i)
     {
-        auto const& task = content.tasks[i];
-        if (internal::is_at_agent(task.state) && task.agent->linked)
+        if (internal::is_at_agent(content.tasks[i].state))
         {
-            send_cancel request{.agent = task.agent->id, .cancel = {}};
-            *request.cancel.mutable_task() = wire::make_task_ref(job.id(), i);
-            this->outbox.add(std::move(request));
+            this->send_cancel_of(job, i);
         }
     }
     if (this->needs_lookup(job))
--- a/filbertroad/submission/shard_owner_test.cpp
+++ b/filbertroad/submission/shard_owner_test.cpp
@@ -524,6 +524,27 @@
     EXPECT_TRUE(this->take<send_start>().empty());
 }
 
+// Guards against a cancellation that is lost with the agent's link, so that the task runs on.
+TEST_F(shard_owner_test, repeats_a_cancellation_on_the_next_link)
+{
+    auto const key = this->key("k");
+    this->submit(request(key, 1));
+    ASSERT_EQ(this->take<send_start>().size(), 1U);
+    this->owner.agent_unlinked(this->agent, this->clock.steady_now());
+    this->owner.cancel(++this->last_request, query_of(key), this->clock.steady_now(),
+                       this->clock.system_now());
+    EXPECT_TRUE(this->take<send_cancel>().empty());
+    auto second_hello = hello("a1", 1);
+    *second_hello.add_open() = this->entry(key, 0, false);
+    this->owner.agent_linked(second_hello, this->clock.steady_now());
+    EXPECT_EQ(this->take<send_cancel>().size(), 1U);
+    // The link is lost once more, perhaps before the agent has read the cancellation.
+    this->owner.agent_unlinked(this->agent, this->clock.steady_now());
+    this->owner.agent_linked(second_hello, this->clock.steady_now());
+    EXPECT_EQ(this->take<send_cancel>().size(), 1U);
+    EXPECT_TRUE(this->take<send_start>().empty());
+}
+
 // Guards against unbounded memory, and against answers that are discarded to save memory.
 TEST_F(shard_owner_test, refuses_jobs_over_the_memory_bound_and_keeps_answers)
 {
