Repeat a cancellation until the task has ended

A cancelled task ran on to its end when start and cancellation followed each other closely. Nothing ran twice.

Start and cancellation reach the target through different connections, and the start may wait for a free connection, so that the cancellation can arrive first. The target finds no such task then, and the agent sent it once.

The agent now sends the cancellation again every 500 ms while the task has not ended. A target that has no such task any more ignores it, and a task that is started again after a refusal is not cancelled by it.

Evidence: agent_core_test.cancellation_is_repeated_until_the_task_has_ended failed before (no cancellation within 1 s after the first one). The wrong order at a target was not reproduced; it follows from the two connections in server/agent_target.cpp.

--- a/filbertroad/execution/agent_core.cpp
+++ b/filbertroad/execution/agent_core.cpp
@@ -165,9 +165,11 @@
 
 void agent_core::cancel_received(wire::cancel_task const& cancel)
 {
-    auto const* const record = this->impl->ledger.find(internal::identity_of(cancel.task()));
+    auto const task = internal::identity_of(cancel.task());
+    auto const* const record = this->impl->ledger.find(task);
     if (record != nullptr && record->state == internal::ledger_entry_state::running)
     {
+        this->impl->cancelled.insert(task);
         this->impl->actions.emplace_back(cancel_on_target{cancel.task()});
     }
 }
@@ -232,6 +234,7 @@
     auto const identity = internal::identity_of(task);
     if (auto const refusal = to_refusal(outcome))
     {
+        core.cancelled.erase(identity);
         if (auto const recipient = core.ledger.refuse(identity))
         {
             core.send_refusal(*recipient, task, *refusal);
@@ -252,6 +255,7 @@
     result.set_run_time_us(
         static_cast<std::uint32_t>(std::clamp<std::int64_t>(run_time.count(), 0, UINT32_MAX)));
     result.set_started_unix_ms(record->started_unix_ms);
+    core.cancelled.erase(identity);
     if (core.ledger.finish(identity, std::move(result), now) != nullptr)
     {
         core.send_result(identity);
@@ -266,6 +270,7 @@
     {
         core.broadcast_target();
     }
+    core.repeat_cancellations(now);
     for (auto& [id, link] : core.links)
     {
         if (!link.linked || core.admission.is_excluded(id))
--- a/filbertroad/execution/agent_core.hpp
+++ b/filbertroad/execution/agent_core.hpp
@@ -47,6 +47,9 @@
     /// A target counts as unreachable after this long without an announcement.
     std::chrono::milliseconds announcement_timeout{3000};
     std::chrono::milliseconds ping_interval{500};
+    /// A cancellation is sent to the target again after this long, until the task has ended: it may
+    /// have reached the target before the start, which uses another connection.
+    std::chrono::milliseconds cancel_interval{500};
 };
 
 /// Sends a message to an entry.
@@ -139,8 +142,8 @@
                          std::string reason, std::chrono::microseconds run_time,
                          base::steady_time now);
 
-    /// Sends pings and pending results, detects a target whose announcements timed out, and removes
-    /// expired ledger entries. Call every 100 ms.
+    /// Sends pings, pending results and repeated cancellations, detects a target whose
+    /// announcements timed out, and removes expired ledger entries. Call every 100 ms.
     void tick(base::steady_time now);
 
     [[nodiscard]] std::vector<action> take_actions();
--- a/filbertroad/execution/agent_core_impl.cpp
+++ b/filbertroad/execution/agent_core_impl.cpp
@@ -195,6 +195,19 @@
     this->last_tick = now;
 }
 
+void agent_core::implementation::repeat_cancellations(base::steady_time now)
+{
+    if (now - this->cancellations_repeated_at < this->options.cancel_interval)
+    {
+        return;
+    }
+    this->cancellations_repeated_at = now;
+    for (auto const& task : this->cancelled)
+    {
+        this->actions.emplace_back(cancel_on_target{wire::make_task_ref(task.job, task.index)});
+    }
+}
+
 bool agent_core::implementation::is_linked(model::process_id const& entry) const
 {
     auto const link = this->links.find(entry);
--- a/filbertroad/execution/agent_core_test.cpp
+++ b/filbertroad/execution/agent_core_test.cpp
@@ -273,6 +273,29 @@
     EXPECT_EQ(this->core.running(), 1U);
 }
 
+// Guards against a cancellation that overtakes its start on the way to the target, so that the
+// task runs on. Start and cancellation use different connections.
+TEST_F(agent_core_test, cancellation_is_repeated_until_the_task_has_ended)
+{
+    auto const cancellations = [this]
+    {
+        auto const taken = this->core.take_actions();
+        return std::count_if(taken.begin(), taken.end(),
+                             [](action const& next)
+                             { return std::holds_alternative<cancel_on_target>(next); });
+    };
+    this->start("e1", 0);
+    wire::cancel_task cancel;
+    *cancel.mutable_task() = make_task(0);
+    this->core.cancel_received(cancel);
+    EXPECT_EQ(cancellations(), 1);
+    this->advance_time(milliseconds(1000));
+    EXPECT_GE(cancellations(), 1);
+    this->finish_task(0, "");
+    this->advance_time(milliseconds(1000));
+    EXPECT_EQ(cancellations(), 0);
+}
+
 // Guards against starts on a target that is leaving, also if an earlier announcement arrives late.
 TEST_F(agent_core_test, leaving_target_gets_no_starts)
 {
--- a/filbertroad/execution/internal/agent_core_impl.hpp
+++ b/filbertroad/execution/internal/agent_core_impl.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace filbertroad::execution
@@ -48,6 +49,7 @@
     void send_ledger_report(model::process_id const& entry, wire::fence const& fence);
     void record_contact(model::process_id const& entry, base::steady_time now);
     void detect_pause(base::steady_time now);
+    void repeat_cancellations(base::steady_time now);
 
     [[nodiscard]] bool is_linked(model::process_id const& entry) const;
     [[nodiscard]] bool is_current_link(model::process_id const& entry,
@@ -64,6 +66,9 @@
     std::optional<base::steady_time> started_at;
     std::optional<base::steady_time> last_tick;
     std::optional<base::steady_time> last_expiry;
+    /// Cancelled tasks that may still run.
+    std::unordered_set<internal::task_identity, internal::task_identity_hash> cancelled;
+    base::steady_time cancellations_repeated_at{};
     std::vector<action> actions;
 };
 
