Test that a response read after a pause is no timeout

Checked for the class of the incident: an agent that is paused beyond a task's time limit finds both the expired timer and the target's response when it goes on. The response wins, so that the answer is not replaced by "failed". The test passes without a change.

--- a/filbertroad/net/http_test.cpp
+++ b/filbertroad/net/http_test.cpp
@@ -472,6 +472,31 @@
     EXPECT_TRUE(sent.error().may_have_arrived);
 }
 
+// Guards against a response that arrived in time and is dropped as late, because the client's
+// process was paused until after the time limit.
+TEST_F(http_test, response_read_after_a_pause_of_the_client_is_no_timeout)
+{
+    this->listen_and_defer_responses();
+    asio::io_context client_io;
+    http_client client(client_io, this->address(), 1);
+    std::optional<http_result> result;
+    client.send({.method = "GET", .path = "/"}, seconds(1),
+                [&](http_result response) { result = response; });
+    while (this->responders.empty())
+    {
+        client_io.run_for(milliseconds(1));
+        client_io.restart();
+        this->io.run_for(milliseconds(1));
+        this->io.restart();
+    }
+    this->responders.front()({.body = "done"});
+    this->io.run_for(milliseconds(50));
+    std::this_thread::sleep_for(milliseconds(1100));
+    ASSERT_TRUE(run_until(client_io, [&] { return result.has_value(); }));
+    ASSERT_TRUE(*result);
+    EXPECT_EQ(result->value().body, "done");
+}
+
 // Guards against header injection through values that callers supply.
 TEST_F(http_test, request_with_control_characters_is_not_sent)
 {
