Expire ended jobs by the steady clock

A task could run twice, and a kept answer could be lost, after an entry's wall clock had been ahead by more than the key's retention for a moment: the owner forgot its ended jobs. When the clock was right again, a job that its caller submitted again was a new one. Only the agent that had run a task would have refused it.

Answers and keys now expire by the steady clock, which no correction moves: the answers key_retention after the end of the job, as before, and the key twice the clock skew later. The key was kept until that long after its creation before, so it is kept longer by the duration of the job, or by its age if it was handed over or recovered.

Evidence: shard_owner_test.keeps_ended_jobs_when_the_wall_clock_was_ahead (20 minutes ahead for 1 s) failed before: the task was started again, and the report was empty.

--- a/filbertroad/submission/internal/job.hpp
+++ b/filbertroad/submission/internal/job.hpp
@@ -114,7 +114,7 @@
     std::string digest;
     base::system_time created;
     base::system_time ended_at;
-    base::system_time key_expires_at;
+    base::steady_time key_expires_at;
     /// Null once the answers were acknowledged or have expired.
     std::unique_ptr<job_content> content;
     /// Order of acceptance at this owner.
--- a/filbertroad/submission/internal/job_table.cpp
+++ b/filbertroad/submission/internal/job_table.cpp
@@ -75,8 +75,8 @@
     this->bytes -= bytes;
 }
 
-void job_table::end(job& record, base::system_time at, base::system_time answers_expire_at,
-                    base::system_time key_expires_at)
+void job_table::end(job& record, base::system_time at, base::steady_time answers_expire_at,
+                    base::steady_time key_expires_at)
 {
     record.ended_at = at;
     record.key_expires_at = key_expires_at;
@@ -109,13 +109,13 @@
     this->jobs.erase(this->jobs.find(record.id()));
 }
 
-void job_table::expire(base::system_time wall)
+void job_table::expire(base::steady_time now)
 {
-    while (!this->expiries.empty() && this->expiries.top().at <= wall)
+    while (!this->expiries.empty() && this->expiries.top().at <= now)
     {
         auto next = this->expiries.top();
         this->expiries.pop();
-        if (next.record->key_expires_at <= wall)
+        if (next.record->key_expires_at <= now)
         {
             this->remove(*next.record);
             continue;
--- a/filbertroad/submission/internal/job_table.hpp
+++ b/filbertroad/submission/internal/job_table.hpp
@@ -55,13 +55,13 @@
 
     /// Marks the job as ended at `at`. Its answers are discarded at `answers_expire_at`, and the
     /// key stays known until `key_expires_at` if that is later.
-    void end(job& record, base::system_time at, base::system_time answers_expire_at,
-             base::system_time key_expires_at);
+    void end(job& record, base::system_time at, base::steady_time answers_expire_at,
+             base::steady_time key_expires_at);
     /// Drops the content of an ended job. Its identity, its digest and its end stay known.
     void discard_answers(job& record);
     void remove(job& record);
-    /// Discards the answers and removes the ended jobs that have expired at `wall`.
-    void expire(base::system_time wall);
+    /// Discards the answers and removes the ended jobs that have expired at `now`.
+    void expire(base::steady_time now);
 
     [[nodiscard]] std::size_t held_bytes() const { return this->bytes; }
     [[nodiscard]] std::size_t size() const { return this->jobs.size(); }
@@ -75,7 +75,7 @@
     /// one.
     struct expiry
     {
-        base::system_time at;
+        base::steady_time at;
         std::uint64_t serial = 0;
         job* record = nullptr;
 
--- a/filbertroad/submission/ownership.cpp
+++ b/filbertroad/submission/ownership.cpp
@@ -146,7 +146,7 @@
     this->reject_expired();
     this->expire_and_retry_lookups();
     this->answer_timed_out_requests();
-    this->jobs.expire(this->wall());
+    this->jobs.expire(this->now);
     this->agents.remove_unused();
 }
 
--- a/filbertroad/submission/shard_owner_test.cpp
+++ b/filbertroad/submission/shard_owner_test.cpp
@@ -545,6 +545,24 @@
     EXPECT_TRUE(this->take<send_start>().empty());
 }
 
+// Guards against an owner that forgets a job, and starts it again, after its wall clock was ahead
+// for a moment.
+TEST_F(shard_owner_test, keeps_ended_jobs_when_the_wall_clock_was_ahead)
+{
+    auto const key = this->key("k");
+    this->submit(request(key, 1));
+    auto const starts = this->take<send_start>();
+    ASSERT_EQ(starts.size(), 1U);
+    this->finish(this->agent, starts[0].start.task());
+    this->clock.shift_system(std::chrono::minutes(20));
+    this->advance_clock(seconds(1));
+    this->clock.shift_system(-std::chrono::minutes(20));
+    this->advance_clock(seconds(1));
+    this->submit(request(key, 1));
+    EXPECT_TRUE(this->take<send_start>().empty());
+    EXPECT_EQ(this->query_report(key).results(0).outcome(), wire::outcome_succeeded);
+}
+
 // Guards against unbounded memory, and against answers that are discarded to save memory.
 TEST_F(shard_owner_test, refuses_jobs_over_the_memory_bound_and_keeps_answers)
 {
--- a/filbertroad/submission/tasks.cpp
+++ b/filbertroad/submission/tasks.cpp
@@ -177,11 +177,12 @@
     content.placement = {};
     content.history.shrink_to_fit();
     this->recovered_jobs.erase(job.serial);
-    auto const wall = this->wall();
+    // The steady clock, since a job must not be forgotten when the wall clock is ahead for a
+    // moment.
+    auto const answers_expire_at = this->now + this->options.key_retention;
     // Another owner may accept the key until the key is too old by that owner's clock.
-    auto const key_expires_at =
-        job.created + this->options.key_retention + 2 * this->options.clock_skew;
-    this->jobs.end(job, wall, wall + this->options.key_retention, key_expires_at);
+    auto const key_expires_at = answers_expire_at + 2 * this->options.clock_skew;
+    this->jobs.end(job, this->wall(), answers_expire_at, key_expires_at);
     for (auto const number : std::exchange(content.waiting_request_numbers, {}))
     {
         if (auto const request = this->waiting_requests.take(number))
