Measure the time since a change of ownership by the steady clock

A task could run twice: an entry whose wall clock was behind became the owner of a shard, the clock was corrected, and a caller submitted a job again that the previous owner had accepted.

An owner asks the other members for a key that is older than the last change of ownership by its wall clock. With the time of the change noted by a clock that was an hour behind, all keys of that hour looked new and were started without a question.

The change is now noted on the steady clock, and compared with the key by the wall clock at the time of the submission.

Evidence: shard_owner_test.looks_up_earlier_keys_when_the_wall_clock_was_behind failed before (no lookup, and a start).

--- a/filbertroad/server/shard_registry.cpp
+++ b/filbertroad/server/shard_registry.cpp
@@ -231,7 +231,7 @@
                          hosted.owner.set_ownership(ownership, now, wall);
                          if (service.routes_changed)
                          {
-                             hosted.owner.routes_changed(wall);
+                             hosted.owner.routes_changed(now);
                          }
                          for (auto const& [target, zone] : hosted.target_zones)
                          {
--- a/filbertroad/submission/internal/owner_state.hpp
+++ b/filbertroad/submission/internal/owner_state.hpp
@@ -58,7 +58,7 @@
     [[nodiscard]] bool accepts_new_keys() const;
     /// Whether a key created at `created` is so much newer than `change`, allowing for clock skew
     /// and unconfirmed processes, that no other process can have accepted the key before `change`.
-    [[nodiscard]] bool is_created_after(base::system_time created, base::system_time change) const;
+    [[nodiscard]] bool is_created_after(base::system_time created, base::steady_time change) const;
 
     // Requests. `number` is the request number. `lookup_completed` says that a key lookup has shown
     // that no other member holds the key.
@@ -184,10 +184,10 @@
     bool confirmed = false;
     /// This incarnation of the entry was removed from the view.
     bool removed = false;
-    /// Wall times of the last change of ownership, and of the change that made this entry the
-    /// owner.
-    base::system_time ownership_changed_at;
-    base::system_time owner_since;
+    /// Times of the last change of ownership, and of the change that made this entry the owner. On
+    /// the steady clock, so that a correction of the wall clock does not make older keys look new.
+    base::steady_time ownership_changed_at;
+    base::steady_time owner_since;
 
     internal::job_table jobs;
     internal::agent_table agents;
--- a/filbertroad/submission/ownership.cpp
+++ b/filbertroad/submission/ownership.cpp
@@ -69,9 +69,11 @@
     return this->confirmed && !this->removed;
 }
 
-bool shard_owner::state::is_created_after(base::system_time created, base::system_time change) const
+bool shard_owner::state::is_created_after(base::system_time created, base::steady_time change) const
 {
-    return created > change + this->options.confirmation_max_age + this->options.clock_skew;
+    auto const wall_change =
+        this->wall() - std::chrono::duration_cast<base::system_time::duration>(this->now - change);
+    return created > wall_change + this->options.confirmation_max_age + this->options.clock_skew;
 }
 
 void shard_owner::state::set_ownership(ownership const& current)
@@ -81,10 +83,10 @@
                          owns(before) != owns(current) || before.shards != current.shards;
     if (changed)
     {
-        this->ownership_changed_at = this->wall();
+        this->ownership_changed_at = this->now;
         if (!this->has_ownership || !is_continued(before, current))
         {
-            this->owner_since = this->wall();
+            this->owner_since = this->now;
         }
     }
     this->has_ownership = true;
--- a/filbertroad/submission/shard_owner.cpp
+++ b/filbertroad/submission/shard_owner.cpp
@@ -46,11 +46,12 @@
     this->impl->set_ownership(current);
 }
 
-void shard_owner::routes_changed(base::system_time wall)
+void shard_owner::routes_changed(base::steady_time now)
 {
     auto& state = *this->impl;
-    state.ownership_changed_at = std::max(state.ownership_changed_at, wall);
-    state.owner_since = std::max(state.owner_since, wall);
+    state.advance(now);
+    state.ownership_changed_at = state.now;
+    state.owner_since = state.now;
 }
 
 void shard_owner::set_confirmed(bool confirmed, base::steady_time now)
--- a/filbertroad/submission/shard_owner.hpp
+++ b/filbertroad/submission/shard_owner.hpp
@@ -140,10 +140,10 @@
 
     /// Applies a change of the view, its members or the agents.
     void set_ownership(ownership const& current, base::steady_time now, base::system_time wall);
-    /// Reports that a route moved to this service. Keys created before `wall` may be held by an
+    /// Reports that a route moved to this service. Keys created before `now` may be held by an
     /// owner of the route's previous service. Not needed after a change of the owner or of the
     /// number of shards, which set_ownership() detects.
-    void routes_changed(base::system_time wall);
+    void routes_changed(base::steady_time now);
     /// Sets whether the control state was recently confirmed as the newest. While false, no new key
     /// is accepted and no task is started.
     void set_confirmed(bool confirmed, base::steady_time now);
--- a/filbertroad/submission/shard_owner_test.cpp
+++ b/filbertroad/submission/shard_owner_test.cpp
@@ -563,6 +563,28 @@
     EXPECT_EQ(this->query_report(key).results(0).outcome(), wire::outcome_succeeded);
 }
 
+// Guards against an owner that starts the keys of the previous owner as new ones, because its wall
+// clock was behind when it became the owner.
+TEST_F(shard_owner_test, looks_up_earlier_keys_when_the_wall_clock_was_behind)
+{
+    auto const key = this->key("k");
+    this->advance_clock(seconds(1));
+    this->clock.shift_system(-std::chrono::hours(1));
+    ++this->owned.view;
+    this->owned.other_members = {peer};
+    this->apply_ownership();
+    this->clock.shift_system(std::chrono::hours(1));
+    this->advance_clock(seconds(1));
+    this->submit(request(key, 1));
+    EXPECT_EQ(this->take<send_lookup>().size(), 1U);
+    EXPECT_TRUE(this->take<send_start>().empty());
+    // Keys from long enough after the change need no lookup.
+    this->advance_clock(seconds(10));
+    this->take<send_lookup>();
+    this->submit(request(this->key("new"), 1));
+    EXPECT_EQ(this->take<send_start>().size(), 1U);
+}
+
 // Guards against unbounded memory, and against answers that are discarded to save memory.
 TEST_F(shard_owner_test, refuses_jobs_over_the_memory_bound_and_keeps_answers)
 {
