--- a/filbertroad/execution/agent_core.hpp
+++ b/filbertroad/execution/agent_core.hpp
@@ -30,9 +30,12 @@
 struct agent_options
 {
     std::chrono::milliseconds confirmation_max_age{2000};
-    /// Acknowledged starts stay in the ledger for this long, so that late duplicates do not start
-    /// the task again.
+    /// Acknowledged starts stay in the ledger for this long plus twice the clock skew, so that late
+    /// duplicates do not start the task again.
     std::chrono::milliseconds key_retention{15 * 60 * 1000};
+    /// Largest difference between the clocks of callers and owners. An owner whose clock is behind
+    /// accepts a key for longer than key_retention.
+    std::chrono::milliseconds clock_skew{5000};
     std::size_t max_ledger_entries = 200'000;
     /// Maximum size of the ledger. Beyond it, acknowledged results are evicted, oldest first, while
     /// the identities of their starts are kept. If that does not suffice, new starts are refused.
@@ -44,6 +47,9 @@
     /// A target counts as unreachable after this long without an announcement.
     std::chrono::milliseconds announcement_timeout{3000};
     std::chrono::milliseconds ping_interval{500};
+    /// A cancellation is sent to the target again after this long, until the task has ended: it may
+    /// have reached the target before the start, which uses another connection.
+    std::chrono::milliseconds cancel_interval{500};
 };
 
 /// Sends a message to an entry.
@@ -136,8 +142,8 @@
                          std::string reason, std::chrono::microseconds run_time,
                          base::steady_time now);
 
-    /// Sends pings and pending results, detects a target whose announcements timed out, and removes
-    /// expired ledger entries. Call every 100 ms.
+    /// Sends pings, pending results and repeated cancellations, detects a target whose
+    /// announcements timed out, and removes expired ledger entries. Call every 100 ms.
     void tick(base::steady_time now);
 
     [[nodiscard]] std::vector<action> take_actions();
--- a/filbertroad/server/entry_core.cpp
+++ b/filbertroad/server/entry_core.cpp
@@ -86,8 +86,11 @@
     }
     this->links.tick();
     this->peers.tick();
+    // Only an outage of the log needs the agents, and to compare thousands takes milliseconds.
     this->state_controller.set_linked_agents(
-        this->links.linked_agent_count(control::agent_link_max_age));
+        this->state_controller.probe_reply().log_readable()
+            ? std::vector<model::process_id>()
+            : this->links.active_agents(control::agent_link_max_age));
     this->update_metrics();
 }
 
@@ -159,8 +162,9 @@
 shard_callbacks entry_core::make_shard_callbacks()
 {
     shard_callbacks result;
-    result.to_agent = [this](model::process_id const& agent, wire::link_message const& message)
-    { return this->links.send_to_agent(agent, message); };
+    result.to_agent = [this](model::process_id const& agent, std::uint64_t link,
+                             wire::link_message const& message)
+    { return this->links.send_to_agent(agent, link, message); };
     result.lookup =
         [this](shard_id const& id, model::process_id const& member, wire::lookup const& lookup)
     { this->send_lookup_to_peer(id, member, lookup); };
@@ -293,7 +297,7 @@
     // The replies must not be evaluated with a count of agents from before a pause of this
     // process.
     this->state_controller.set_linked_agents(
-        this->links.linked_agent_count(control::agent_link_max_age));
+        this->links.active_agents(control::agent_link_max_age));
     auto const sent_at = this->clock.steady_now();
     wire::request request;
     request.mutable_probe();
--- a/filbertroad/server/entry_links.hpp
+++ b/filbertroad/server/entry_links.hpp
@@ -86,16 +86,19 @@
     /// Closes all links once their queued messages were sent, and makes no new ones.
     void stop();
 
-    /// These return false, and drop the message, if there is no link.
-    bool send_to_agent(model::process_id const& agent, wire::link_message const& message);
+    /// These return false, and drop the message, if there is no link. For an agent this also holds
+    /// if `link_number` is not the number of its newest link: a sender that has not read the hello
+    /// of the newest link would take a start that it sends there as not received.
+    bool send_to_agent(model::process_id const& agent, std::uint64_t link_number,
+                       wire::link_message const& message);
     bool send_to_entry(model::process_id const& entry, wire::link_message const& message);
     void send_to_all_agents(wire::link_message const& message);
     void send_to_all_entries(wire::link_message const& message);
 
     [[nodiscard]] std::vector<model::process_id> linked_entries() const;
     [[nodiscard]] std::vector<linked_agent> linked_agents() const;
-    /// Number of agents that have sent any message within the last `age`.
-    [[nodiscard]] std::size_t linked_agent_count(std::chrono::milliseconds age) const;
+    /// The agents that have sent any message within the last `age`.
+    [[nodiscard]] std::vector<model::process_id> active_agents(std::chrono::milliseconds age) const;
     /// Sums over all links, including closed ones.
     [[nodiscard]] net::link_counters counters() const;
 
--- a/filbertroad/submission/shard_owner_test.cpp
+++ b/filbertroad/submission/shard_owner_test.cpp
@@ -524,6 +524,67 @@
     EXPECT_TRUE(this->take<send_start>().empty());
 }
 
+// Guards against a cancellation that is lost with the agent's link, so that the task runs on.
+TEST_F(shard_owner_test, repeats_a_cancellation_on_the_next_link)
+{
+    auto const key = this->key("k");
+    this->submit(request(key, 1));
+    ASSERT_EQ(this->take<send_start>().size(), 1U);
+    this->owner.agent_unlinked(this->agent, this->clock.steady_now());
+    this->owner.cancel(++this->last_request, query_of(key), this->clock.steady_now(),
+                       this->clock.system_now());
+    EXPECT_TRUE(this->take<send_cancel>().empty());
+    auto second_hello = hello("a1", 1);
+    *second_hello.add_open() = this->entry(key, 0, false);
+    this->owner.agent_linked(second_hello, this->clock.steady_now());
+    EXPECT_EQ(this->take<send_cancel>().size(), 1U);
+    // The link is lost once more, perhaps before the agent has read the cancellation.
+    this->owner.agent_unlinked(this->agent, this->clock.steady_now());
+    this->owner.agent_linked(second_hello, this->clock.steady_now());
+    EXPECT_EQ(this->take<send_cancel>().size(), 1U);
+    EXPECT_TRUE(this->take<send_start>().empty());
+}
+
+// Guards against an owner that forgets a job, and starts it again, after its wall clock was ahead
+// for a moment.
+TEST_F(shard_owner_test, keeps_ended_jobs_when_the_wall_clock_was_ahead)
+{
+    auto const key = this->key("k");
+    this->submit(request(key, 1));
+    auto const starts = this->take<send_start>();
+    ASSERT_EQ(starts.size(), 1U);
+    this->finish(this->agent, starts[0].start.task());
+    this->clock.shift_system(std::chrono::minutes(20));
+    this->advance_clock(seconds(1));
+    this->clock.shift_system(-std::chrono::minutes(20));
+    this->advance_clock(seconds(1));
+    this->submit(request(key, 1));
+    EXPECT_TRUE(this->take<send_start>().empty());
+    EXPECT_EQ(this->query_report(key).results(0).outcome(), wire::outcome_succeeded);
+}
+
+// Guards against an owner that starts the keys of the previous owner as new ones, because its wall
+// clock was behind when it became the owner.
+TEST_F(shard_owner_test, looks_up_earlier_keys_when_the_wall_clock_was_behind)
+{
+    auto const key = this->key("k");
+    this->advance_clock(seconds(1));
+    this->clock.shift_system(-std::chrono::hours(1));
+    ++this->owned.view;
+    this->owned.other_members = {peer};
+    this->apply_ownership();
+    this->clock.shift_system(std::chrono::hours(1));
+    this->advance_clock(seconds(1));
+    this->submit(request(key, 1));
+    EXPECT_EQ(this->take<send_lookup>().size(), 1U);
+    EXPECT_TRUE(this->take<send_start>().empty());
+    // Keys from long enough after the change need no lookup.
+    this->advance_clock(seconds(10));
+    this->take<send_lookup>();
+    this->submit(request(this->key("new"), 1));
+    EXPECT_EQ(this->take<send_start>().size(), 1U);
+}
+
 // Guards against unbounded memory, and against answers that are discarded to save memory.
 TEST_F(shard_owner_test, refuses_jobs_over_the_memory_bound_and_keeps_answers)
 {
