Read what arrived during a pause before taking agents for silent

Callers lost answers that had arrived, and tasks ran again, when an entry was frozen or suspended: its first tick after the pause took every agent for silent, counted their runs as lost, and started the tasks elsewhere or gave the jobs up. The results that had arrived meanwhile were read right after that, and had no effect any more.

After an interval of more than 200 ms between two ticks no agent counts as silent for 100 ms. The runs of an agent that is silent indeed are lost 100 ms later than before.

--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -47,6 +47,11 @@
     /// contact, on the slowest clock; and 50 ms for the end of a run. Callers of a crashed entry
     /// send their jobs again after 1,300 ms, so it must be less.
     milliseconds runs_expire_after{1'275};
+    /// Interval between two calls of tick() above which this process counts as paused. Messages
+    /// that arrived meanwhile have not been read, so that no agent counts as silent.
+    milliseconds longest_tick_interval{200};
+    /// Time after a pause in which messages that arrived during the pause are read.
+    milliseconds catch_up_time{100};
     /// Share of the latency objective for which a job may wait for a target that accepts starts.
     double placement_timeout_factor = 0.25;
     /// Time from the start of the entry until it is linked to its agents. Until then a job that
@@ -288,6 +293,9 @@
     base::clock const& clock;
     dispatch_limits limits;
     base::steady_time started;
+    std::optional<base::steady_time> last_tick;
+    /// End of the newest pause of this process.
+    base::steady_time pause_ended_at{};
     std::map<std::string, internal::agent_view, std::less<>> agents;
     std::map<std::string, std::unique_ptr<job>, std::less<>> jobs;
     std::unordered_map<std::string, task_location> tasks;
--- a/filbertroad/dispatch/job_dispatcher_checks.cpp
+++ b/filbertroad/dispatch/job_dispatcher_checks.cpp
@@ -9,6 +9,12 @@
 
 void job_dispatcher::tick()
 {
+    auto const now = this->clock.steady_now();
+    if (this->last_tick && now - *this->last_tick > this->limits.longest_tick_interval)
+    {
+        this->pause_ended_at = now;
+    }
+    this->last_tick = now;
     std::vector<std::string> keys;
     keys.reserve(this->jobs.size());
     for (auto const& [key, parent_job] : this->jobs)
@@ -69,6 +75,11 @@
     auto const now = this->clock.steady_now();
     auto const& view = this->agents.find(item.agent)->second;
     auto const time_since_contact = now - view.last_contact();
+    bool const may_have_unread_messages = now - this->pause_ended_at < this->limits.catch_up_time;
+    if (time_since_contact > this->limits.entry_lease && may_have_unread_messages)
+    {
+        return;
+    }
     if (time_since_contact > this->limits.runs_expire_after)
     {
         // The start may still wait in the agent's queue, or be under way to it.
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -203,6 +203,29 @@
     EXPECT_EQ(this->starts_at("b").size(), 1U);
 }
 
+// Guards against running tasks again whose results wait to be read: an entry that was paused has
+// heard nothing of its agents, although they were not silent.
+TEST_F(job_dispatcher_test, agents_do_not_count_as_silent_right_after_a_pause_of_the_entry)
+{
+    this->add_agent("a", 32'000, 2);
+    this->add_agent("b", 32'000);
+    auto job = make_job("j", 2);
+    job.time_budget = milliseconds(10'000);
+    job.target_latency = milliseconds(3'000);
+    this->submit(std::move(job));
+    auto const sent = this->starts_at("a");
+    ASSERT_EQ(sent.size(), 2U);
+    this->statuses.erase("a");
+    this->advance_time(milliseconds(25));
+    this->clock.advance(milliseconds(2'000));
+    this->advance_time(milliseconds(25));
+    EXPECT_TRUE(this->starts_at("b").empty());
+    this->end(sent[0], "a", run_end::succeeded);
+    // The other result does not come: the agent is silent.
+    this->advance_time(milliseconds(125));
+    EXPECT_EQ(this->starts_at("b").size(), 1U);
+}
+
 // Guards against two concurrent runs of a task: a start can wait in the queue of a silent agent, or
 // be under way to it, and the agent executes it when the entry has a lease again.
 TEST_F(job_dispatcher_test, run_of_an_unresponsive_agent_is_cancelled_before_its_task_restarts)
