Do not start a run that is cancelled together with its order

What operators see: two runs of a task at the same time, after an entry was frozen for over a second. Its start left the entry late, together with the heartbeat that renews its lease and the cancellation, while the entry had already started the task elsewhere because the agent was silent.

Cause: the agent carried out a start and its stop in one batch, so the run existed for some 20 ms.

Fix: a start that the process has not taken yet is withdrawn, and the run reported as not started. A start and a cancellation that the agent handles in different batches can still overlap a second run; that is open.

--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -375,12 +375,29 @@
     {
         return;
     }
+    if (this->withdraw_start(run))
+    {
+        auto const task = run.order.id.task;
+        this->end_run(task, run_end::not_started, reason);
+        return;
+    }
     this->runs.change(run, run_state::stopping);
     run.stop_reason = reason;
     run.stop_due = this->clock.steady_now();
     this->send_stop(run);
 }
 
+bool run_agent::withdraw_start(agent_run const& run)
+{
+    run_id const id{run.order.id.task, run.target_run};
+    return std::erase_if(this->actions,
+                         [&](agent_action const& action)
+                         {
+                             auto const* const start = std::get_if<start_run>(&action);
+                             return start != nullptr && start->id == id;
+                         }) > 0;
+}
+
 void run_agent::send_stop(agent_run& run)
 {
     run.stop_sent = this->clock.steady_now();
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -289,6 +289,8 @@
     void target_restarted(renewal const& sent);
     /// Whether the target still had the run, as far as this agent knows, when it last answered.
     [[nodiscard]] bool had_run_at_last_contact(entry_run const& run) const;
+    /// Removes the start of the run from the actions. Returns false if it has been taken.
+    bool withdraw_start(entry_run const& run);
     /// Whether the target has been silent although this agent was able to read its answers.
     [[nodiscard]] bool is_target_silent() const;
     void handle_finished_run(finished_run const& finish);
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -645,6 +645,19 @@
     EXPECT_TRUE(this->report("t")->target_lost);
 }
 
+// Guards against two runs of a task: an entry that was frozen sends a start and its cancellation at
+// once, and starts the task elsewhere because the agent was silent (property test, seed 2).
+TEST_F(run_agent_test, run_cancelled_together_with_its_order_does_not_start)
+{
+    this->connect("e");
+    this->agent.start_ordered("e", make_order("t", 3'000));
+    this->agent.cancel_ordered("e", {"t", 1});
+    this->collect();
+    EXPECT_TRUE(this->starts.empty());
+    ASSERT_NE(this->report("t"), nullptr);
+    EXPECT_EQ(this->report("t")->end, run_end::not_started);
+}
+
 // Guards against hiding a crash: the entry cancels a run as stalled before the agent knows that the
 // target is gone.
 TEST_F(run_agent_test, run_cancelled_on_a_silent_target_is_reported_as_lost_with_the_target)
