Do not count the silence of a crashed target as run time

What callers see: after a crash the target is back within 3 s, but gets few tasks for another second or two while others queue.

Cause: a run that is lost with its target is reported when its lease is over, 0.6 s to 1.0 s after the crash (median 974 ms in 254 lost runs). That time was taken for its run time, and lowered the speed estimate of the target with every run on it.

Fix: such a run ends when the target was last heard from. If its start was never confirmed, the run time is unknown.

Evidence: the test failed before with a speed of 0.59 for 1 and a run time of 750 ms for 125 ms.

--- a/filbertroad/dispatch/internal/run_table.hpp
+++ b/filbertroad/dispatch/internal/run_table.hpp
@@ -58,6 +58,8 @@
     std::string stop_reason;
     /// Whether the target crashed or became silent while it executed the run, or may have.
     bool is_target_lost = false;
+    /// Last answer of the target before it was lost; valid if `is_target_lost`.
+    base::steady_time target_last_heard{};
 };
 
 class run_table
--- a/filbertroad/dispatch/messages.hpp
+++ b/filbertroad/dispatch/messages.hpp
@@ -83,7 +83,8 @@
     run_id id;
     run_end end = run_end::lost;
     std::string reason;
-    /// Time from the start to the end of the run; 0 if unknown.
+    /// Time from the start to the end of the run; 0 if unknown. A run that was lost with its target
+    /// ended when the target was last heard from.
     milliseconds elapsed{};
     /// Time spent in the agent's queue before the start.
     milliseconds queued{};
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -37,6 +37,18 @@
     return static_cast<double>(resources.cpu) / 1000;
 }
 
+/// Time for which a run that was lost with its target was known to run. The time until the loss was
+/// certain says nothing about the speed of the target.
+milliseconds time_until_target_lost(agent_run const& run)
+{
+    if (!run.is_start_confirmed)
+    {
+        return milliseconds(0);
+    }
+    auto const end = std::max(run.started, run.target_last_heard);
+    return std::max(internal::elapsed(run.started, end), milliseconds(1));
+}
+
 std::size_t class_of(std::uint32_t priority)
 {
     return std::min<std::size_t>(priority, priority_classes - 1);
@@ -423,7 +435,9 @@
         internal::elapsed(run->arrived, was_started ? run->started : this->clock.steady_now());
     if (was_started)
     {
-        report.elapsed = internal::elapsed(run->started, this->clock.steady_now());
+        report.elapsed = report.target_lost
+                             ? time_until_target_lost(*run)
+                             : internal::elapsed(run->started, this->clock.steady_now());
     }
     auto const expected = static_cast<double>(run->order.estimate.count()) / this->speed.value();
     bool const was_slow = static_cast<double>(report.elapsed.count()) > expected;
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -291,6 +291,8 @@
     [[nodiscard]] bool had_run_at_last_contact(entry_run const& run) const;
     /// Removes the start of the run from the actions. Returns false if it has been taken.
     bool withdraw_start(entry_run const& run);
+    /// Marks the run as lost with its target, unless the target had ended it before.
+    void mark_lost_with_target(entry_run& run) const;
     /// Whether the target has been silent although this agent was able to read its answers.
     [[nodiscard]] bool is_target_silent() const;
     void handle_finished_run(finished_run const& finish);
--- a/filbertroad/dispatch/run_agent_expiry.cpp
+++ b/filbertroad/dispatch/run_agent_expiry.cpp
@@ -64,8 +64,10 @@
         {
             if (run.is_start_confirmed && run.state != run_state::queued)
             {
-                run.is_target_lost =
-                    run.is_target_lost || (is_silent && this->had_run_at_last_contact(run));
+                if (is_silent)
+                {
+                    this->mark_lost_with_target(run);
+                }
                 ended_tasks.push_back(run.order.id.task);
             }
         });
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -257,6 +257,15 @@
     return run.state != run_state::queued && !was_stopped_before;
 }
 
+void run_agent::mark_lost_with_target(agent_run& run) const
+{
+    if (!run.is_target_lost && this->had_run_at_last_contact(run))
+    {
+        run.is_target_lost = true;
+        run.target_last_heard = this->target_clock_at;
+    }
+}
+
 bool run_agent::is_target_silent() const
 {
     return !this->is_reachable() && this->pause_ended_at <= this->target_clock_at &&
@@ -269,8 +278,10 @@
     this->runs.for_each(
         [&](agent_run& run)
         {
-            run.is_target_lost =
-                run.is_target_lost || (has_crashed && this->had_run_at_last_contact(run));
+            if (has_crashed)
+            {
+                this->mark_lost_with_target(run);
+            }
             if (run.state == run_state::stopping)
             {
                 run.is_stop_answered = false;
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -658,6 +658,20 @@
     EXPECT_EQ(this->report("t")->end, run_end::not_started);
 }
 
+// Guards against a target that seems slow after it has crashed: the time until the loss of its runs
+// was certain counted as run time, and it got too few tasks for seconds.
+TEST_F(run_agent_test, crash_of_the_target_does_not_lower_its_speed)
+{
+    this->connect("e");
+    this->order("e", "a", 3'000);
+    this->advance_time(milliseconds(125), {"e"});
+    auto const speed = this->agent.make_status("e").speed;
+    this->advance_time(milliseconds(1'200), {"e"}, false);
+    ASSERT_NE(this->report("a"), nullptr);
+    EXPECT_EQ(this->report("a")->elapsed, milliseconds(125));
+    EXPECT_EQ(this->agent.make_status("e").speed, speed);
+}
+
 // Guards against hiding a crash: the entry cancels a run as stalled before the agent knows that the
 // target is gone.
 TEST_F(run_agent_test, run_cancelled_on_a_silent_target_is_reported_as_lost_with_the_target)
