Keep starts closed until a target that refused one answers again

Cause: a refused connection counts like a refusal by a live target, which is over after a backoff.

Fix: the agent polls the target after a refusal, and starts nothing before an answer.

Evidence: the test failed before (accepting after the backoff without an answer).

--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -306,7 +306,9 @@
     {
         return "stop unconfirmed";
     }
-    if (this->clock.steady_now() < this->backoff_until)
+    // A target that has not answered since it refused a start may have crashed.
+    if (this->clock.steady_now() < this->backoff_until ||
+        this->target_clock_at < this->last_unhealthy)
     {
         return "target unhealthy";
     }
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -336,6 +336,8 @@
     bool zone_out_of_service = false;
     bool shutting_down = false;
     base::steady_time backoff_until{};
+    /// When the target last refused a start as unhealthy.
+    base::steady_time last_unhealthy{};
 
     /// Run number and end time of runs that ended within `limits.max_reordering_delay`, by task. An
     /// older list that arrives after the one with their end may still name them.
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -71,7 +71,10 @@
         this->requeue(*run);
         break;
     case start_answer::unhealthy:
-        this->backoff_until = this->clock.steady_now() + this->limits.unhealthy_backoff;
+        this->last_unhealthy = this->clock.steady_now();
+        // A target that has crashed does not answer.
+        this->actions.emplace_back(poll_runs{});
+        this->backoff_until = this->last_unhealthy + this->limits.unhealthy_backoff;
         this->end_run(id.task, run_end::not_started, "target unhealthy");
         this->return_queued_runs("target unhealthy");
         break;
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -672,6 +672,21 @@
     EXPECT_EQ(this->agent.make_status("e").speed, speed);
 }
 
+// Guards against starts on a target that has crashed: it accepted no connection, and starts were
+// open again after the backoff although it had not answered since.
+TEST_F(run_agent_test, unhealthy_target_gets_no_starts_before_it_answers)
+{
+    this->connect("e");
+    this->answers_starts = false;
+    this->order("e", "a", 3'000);
+    this->clock.advance(milliseconds(1));
+    this->agent.start_answered({"a", 1}, start_answer::unhealthy);
+    this->advance_time(agent_limits{}.unhealthy_backoff, {"e"}, false);
+    EXPECT_FALSE(this->agent.make_status("e").accepting);
+    this->renew();
+    EXPECT_TRUE(this->agent.make_status("e").accepting);
+}
+
 // Guards against hiding a crash: the entry cancels a run as stalled before the agent knows that the
 // target is gone.
 TEST_F(run_agent_test, run_cancelled_on_a_silent_target_is_reported_as_lost_with_the_target)
