Isolate routes whose tasks crash their targets

Fix: starts carry their route, and agents report each crash to all entries with the routes of the tasks that started right before it, as soon as the target refuses a start and does not answer a poll. A route that stands out over three crashes runs on a quarter of the targets, which other tasks avoid; its jobs are refused at once while these are down. A route with half of the service's work or more is not isolated. Crashes are reported for 10 s, so that a restarted entry knows them.

--- a/filbertroad/dispatch/agent_fixture.hpp
+++ b/filbertroad/dispatch/agent_fixture.hpp
@@ -65,7 +65,8 @@
                 .resources = {cpu, 10, 0},
                 .estimate = milliseconds(200),
                 .priority = priority,
-                .queue_timeout = milliseconds(1'000)};
+                .queue_timeout = milliseconds(1'000),
+                .route = "route"};
     }
 
     void order(std::string const& entry, std::string const& task, std::int64_t cpu,
--- a/filbertroad/dispatch/dispatcher_fixture.hpp
+++ b/filbertroad/dispatch/dispatcher_fixture.hpp
@@ -60,6 +60,15 @@
         this->report(name, status);
     }
 
+    /// Reports a crash of the agent's target right after the start of a task of `route`.
+    void report_crash(std::string const& name, std::string const& route)
+    {
+        auto status = this->statuses[name];
+        ++status.crash_count;
+        status.crash_routes = {route};
+        this->report(name, status);
+    }
+
     /// All agents repeat their last report.
     void report_all()
     {
--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -100,6 +100,13 @@
     {
         this->tasks[added.tasks[index].name] = {&added, index};
     }
+    double work = 0;
+    for (auto const& step : steps)
+    {
+        work += static_cast<double>(step.estimate.count()) * step.count *
+                static_cast<double>(step.resources.cpu) / 1000;
+    }
+    this->recent_work[{added.request.service, added.request.route}].add(work, now);
     auto const is_full = this->jobs.size() >= this->limits.max_jobs;
     this->jobs.emplace(added.request.key, std::move(owned));
     if (is_full)
@@ -181,6 +188,7 @@
     }
     bool const was_accepting = found->second.accepts_starts(this->clock.steady_now());
     found->second.update_status(status, this->clock.steady_now());
+    this->crashes.observe(agent, found->second.incarnation(), status, this->clock.steady_now());
     if (!was_accepting && found->second.accepts_starts(this->clock.steady_now()))
     {
         this->tick();
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -20,16 +20,20 @@
 
 #include "filbertroad/base/clock.hpp"
 #include "filbertroad/dispatch/internal/agent_view.hpp"
+#include "filbertroad/dispatch/internal/crash_evidence.hpp"
 #include "filbertroad/dispatch/internal/overload_detector.hpp"
+#include "filbertroad/dispatch/internal/route_work.hpp"
 #include "filbertroad/dispatch/messages.hpp"
 
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -83,6 +87,8 @@
     /// A job is given up when so many runs of one of its tasks were lost, whatever the cause,
     /// except by cancellation. A crash of the target is hidden if the agent ends at the same time.
     std::uint32_t max_losses = 5;
+    /// Share of the targets of a service that run the tasks of routes that crash their targets.
+    double isolated_share = 0.25;
     /// Time after which a caller may retry a refused job.
     std::chrono::seconds retry_after{1};
 };
@@ -255,6 +261,15 @@
                                       base::steady_time now) const;
     [[nodiscard]] bool is_too_late(job const& parent_job, placement const& chosen,
                                    base::steady_time now) const;
+    /// Whether routes that crash targets are to be isolated from the others of `service`. If they
+    /// have most of the work, few targets are not enough for it, and crashes with another cause
+    /// are likely to be blamed on them.
+    [[nodiscard]] bool isolates_suspects(std::string const& service) const;
+    /// Whether tasks of the job may crash their targets and run on isolated targets only.
+    [[nodiscard]] bool is_isolated(job const& parent_job) const;
+    /// Agents of the targets of `service` for isolated routes. Other tasks avoid them. All entries
+    /// choose the same ones. Empty while no route is isolated.
+    [[nodiscard]] std::set<std::string_view> isolated_agents(std::string const& service) const;
     [[nodiscard]] bool are_most_agents_ejected(base::steady_time now) const;
     /// Whether a task of the job exceeds the capacity of every known target, so that the job cannot
     /// complete.
@@ -293,6 +308,9 @@
     std::unordered_map<std::string, task_location> tasks;
     std::vector<dispatch_action> actions;
     internal::overload_detector overload;
+    internal::crash_evidence crashes;
+    /// By service and route.
+    std::map<std::pair<std::string, std::string>, internal::route_work> recent_work;
 };
 
 } // namespace filbertroad::dispatch
--- a/filbertroad/dispatch/job_dispatcher_checks.cpp
+++ b/filbertroad/dispatch/job_dispatcher_checks.cpp
@@ -58,9 +58,12 @@
                     [](task const& item) { return item.state == task_state::waiting; });
     auto const placement_timeout =
         internal::scaled(parent_job.objective, this->limits.placement_timeout_factor);
-    if (is_unplaced && is_not_run(parent_job) && now - parent_job.arrived > placement_timeout)
+    // The targets that suspects may use take work again only after their restart, which takes
+    // longer than the objective.
+    bool const is_hopeless = is_not_run(parent_job) || this->is_isolated(parent_job);
+    if (is_unplaced && is_hopeless && now - parent_job.arrived > placement_timeout)
     {
-        this->finish(parent_job, job_outcome::not_run, "no target takes work");
+        this->give_up(parent_job, "no target takes work");
     }
 }
 
--- a/filbertroad/dispatch/job_dispatcher_placement.cpp
+++ b/filbertroad/dispatch/job_dispatcher_placement.cpp
@@ -62,6 +62,57 @@
                                               : placement_rank::late;
 }
 
+bool job_dispatcher::isolates_suspects(std::string const& service) const
+{
+    if (!this->crashes.has_suspect())
+    {
+        return false;
+    }
+    auto const now = this->clock.steady_now();
+    double total = 0;
+    double suspected = 0;
+    for (auto const& [route, work] : this->recent_work)
+    {
+        if (route.first == service)
+        {
+            total += work.recent(now);
+            suspected += this->crashes.is_suspect(route.second) ? work.recent(now) : 0;
+        }
+    }
+    return suspected * 2 < total;
+}
+
+bool job_dispatcher::is_isolated(job const& parent_job) const
+{
+    return this->crashes.is_suspect(parent_job.request.route) &&
+           this->isolates_suspects(parent_job.request.service);
+}
+
+std::set<std::string_view> job_dispatcher::isolated_agents(std::string const& service) const
+{
+    if (!this->isolates_suspects(service))
+    {
+        return {};
+    }
+    std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
+    for (auto const& [name, view] : this->agents)
+    {
+        if (view.is_connected() && view.status().service == service)
+        {
+            ranked.emplace_back(base::hash64(name), name);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    auto const share = this->limits.isolated_share * static_cast<double>(ranked.size());
+    ranked.resize(std::min(ranked.size(), static_cast<std::size_t>(std::ceil(share))));
+    std::set<std::string_view> isolated;
+    for (auto const& [hash, name] : ranked)
+    {
+        isolated.insert(name);
+    }
+    return isolated;
+}
+
 std::optional<job_dispatcher::placement>
 job_dispatcher::choose_placement(job const& parent_job, task const& item,
                                  std::string const& avoided) const
@@ -71,19 +122,24 @@
     // Ejections are ignored when more than half of the available targets are ejected: a fault of so
     // many is not caused by the targets.
     bool const ignore_ejections = this->are_most_agents_ejected(now);
+    auto const isolated = this->isolated_agents(parent_job.request.service);
+    bool const is_suspect = this->is_isolated(parent_job);
     std::vector<placement> candidates;
     std::optional<placement> last_resort;
     for (auto const& [name, view] : this->agents)
     {
         if (!view.accepts_starts(now) || view.status().service != parent_job.request.service ||
-            !view.status().capacity.can_fit(step.resources))
+            !view.status().capacity.can_fit(step.resources) ||
+            (is_suspect && !isolated.contains(name)))
         {
             continue;
         }
         placement candidate{&name, view.expected_wait(step.resources, parent_job.request.priority),
                             view.expected_run(item.estimate)};
         candidate.rank = this->rank(parent_job, candidate, now);
-        bool const is_last_resort = avoided == name || (view.is_ejected(now) && !ignore_ejections);
+        bool const is_last_resort = avoided == name ||
+                                    (view.is_ejected(now) && !ignore_ejections) ||
+                                    (!is_suspect && isolated.contains(name));
         candidate.spare_starts = view.spare_starts(step.resources);
         if (!is_last_resort)
         {
@@ -206,6 +262,7 @@
     milliseconds expected_end{};
     // A job that only uses free resources delays no other job, so it is admitted during overload.
     bool needs_queue = false;
+    bool is_blocked = false;
     std::vector<std::pair<task*, placement>> plan;
     for (auto& item : parent_job.tasks)
     {
@@ -216,6 +273,8 @@
         auto const chosen = this->choose_placement(parent_job, item, item.avoided);
         if (!chosen)
         {
+            // The targets that suspects may use are down, for longer than the job can wait.
+            is_blocked = this->is_isolated(parent_job);
             break;
         }
         this->reserve(parent_job, item, *chosen);
@@ -228,7 +287,7 @@
         static_cast<double>(expected_end.count()) /
         static_cast<double>(std::max<std::int64_t>(parent_job.objective.count(), 1));
     bool const is_within_load = this->overload.admits(parent_job.request.priority, lateness, now);
-    bool const is_admitted = (is_within_load || !needs_queue) &&
+    bool const is_admitted = !is_blocked && (is_within_load || !needs_queue) &&
                              now + expected_end <= parent_job.latest_end(needs_queue);
     if (!is_admitted)
     {
@@ -236,7 +295,8 @@
         {
             this->agents.find(*planned->second.agent)->second.remove_last_in_flight();
         }
-        this->finish(parent_job, job_outcome::not_run, "overload");
+        this->finish(parent_job, job_outcome::not_run,
+                     is_blocked ? "no target takes work" : "overload");
         return;
     }
     for (auto& [item, chosen] : plan)
@@ -300,7 +360,8 @@
                   .priority = parent_job.request.priority,
                   .queue_timeout = must_start_now
                                        ? milliseconds(0)
-                                       : std::clamp(time_left, min_queue_timeout, queue_limit)};
+                                       : std::clamp(time_left, min_queue_timeout, queue_limit),
+                  .route = parent_job.request.route};
     this->actions.emplace_back(send_start{item.agent, item.order, chosen.wait, chosen.run});
 }
 
--- a/filbertroad/dispatch/job_dispatcher_test.cpp
+++ b/filbertroad/dispatch/job_dispatcher_test.cpp
@@ -1,7 +1,10 @@
 #include "filbertroad/dispatch/dispatcher_fixture.hpp"
 #include "filbertroad/dispatch/run_agent.hpp"
 
+#include <set>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace filbertroad::dispatch
 {
@@ -312,6 +315,118 @@
     EXPECT_EQ(this->answer("j")->reason, "a task was lost with its target too often");
 }
 
+// Guards against tasks of one route that crash all targets of the service, so that no other route
+// is served either.
+TEST_F(job_dispatcher_test, tasks_of_a_route_that_crashes_targets_run_on_few_targets)
+{
+    std::vector<std::string> const agents{"a", "b", "c", "d", "e", "f", "g", "h"};
+    for (auto const& agent : agents)
+    {
+        this->add_agent(agent, 9'000);
+    }
+    int submitted = 0;
+    auto const submit_jobs = [&](std::string const& route)
+    {
+        for (int index = 0; index < 40; ++index)
+        {
+            auto job = make_patient_job(std::to_string(++submitted));
+            job.route = route;
+            this->submit(std::move(job));
+            this->report_all();
+        }
+    };
+    auto const started_at = [&]
+    {
+        std::set<std::string> used;
+        for (auto const& agent : agents)
+        {
+            if (!this->starts_at(agent).empty())
+            {
+                used.insert(agent);
+            }
+        }
+        return used;
+    };
+    submit_jobs("bystander");
+    submit_jobs("bystander");
+    EXPECT_EQ(started_at().size(), agents.size());
+    for (auto const* const agent : {"a", "b", "c"})
+    {
+        this->report_crash(agent, "crashing");
+    }
+    submit_jobs("crashing");
+    auto const isolated = started_at();
+    EXPECT_EQ(isolated.size(), 2U);
+    submit_jobs("bystander");
+    auto const others = started_at();
+    EXPECT_EQ(others.size(), agents.size() - isolated.size());
+    for (auto const& agent : isolated)
+    {
+        EXPECT_FALSE(others.contains(agent)) << agent;
+    }
+}
+
+// Guards against confining most of the work to few targets. With one route, every crash of a target
+// seems to be caused by its tasks.
+TEST_F(job_dispatcher_test, route_with_most_of_the_work_is_not_isolated)
+{
+    std::vector<std::string> const agents{"a", "b", "c", "d"};
+    for (auto const& agent : agents)
+    {
+        this->add_agent(agent, 9'000);
+        this->report_crash(agent, "route");
+    }
+    for (int index = 0; index < 40; ++index)
+    {
+        this->submit(make_patient_job(std::to_string(index)));
+        this->report_all();
+    }
+    for (auto const& agent : agents)
+    {
+        EXPECT_FALSE(this->starts_at(agent).empty()) << agent;
+    }
+}
+
+// Guards against a caller that waits for the restart of the targets on which suspects may run, and
+// against one that is told that its job has not run although it has.
+TEST_F(job_dispatcher_test, jobs_of_a_crashing_route_end_early_while_its_targets_are_down)
+{
+    auto other = make_job("other", 3);
+    other.route = "other";
+    this->add_agent("a", 9'000);
+    this->submit(std::move(other));
+    this->starts_at("a");
+    for (auto const* const agent : {"a", "b", "c"})
+    {
+        this->add_agent(agent, 9'000);
+        this->report_crash(agent, "route");
+    }
+    this->submit(make_job("started", 1));
+    std::string isolated;
+    std::optional<start_order> order;
+    for (auto const* const agent : {"a", "b", "c"})
+    {
+        for (auto const& sent : this->starts_at(agent))
+        {
+            isolated = agent;
+            order = sent;
+        }
+    }
+    ASSERT_TRUE(order);
+    auto closed = this->statuses[isolated];
+    closed.accepting = false;
+    this->report(isolated, closed);
+    this->end_lost(*order, isolated, true);
+    this->submit(make_job("later", 1));
+    EXPECT_EQ(this->outcome("later"), job_outcome::not_run);
+    this->advance_time(milliseconds(200));
+    EXPECT_EQ(this->outcome("started"), job_outcome::given_up);
+    for (auto const* const agent : {"a", "b", "c"})
+    {
+        EXPECT_TRUE(this->starts_at(agent).empty()) << agent;
+    }
+}
+
 // Guards against the outcome "failed" for a job whose runs were lost with an agent or an entry's
 // lease, or never started: the caller would treat it as final, although no target crashed.
 TEST_F(job_dispatcher_test, losses_without_a_lost_target_do_not_fail_the_job)
--- a/filbertroad/dispatch/messages.hpp
+++ b/filbertroad/dispatch/messages.hpp
@@ -62,6 +62,7 @@
     /// Longest time in the agent's queue; a run not started by then is reported as not started. A
     /// run with 0 is returned at once if it cannot be started immediately.
     milliseconds queue_timeout{};
+    std::string route;
 };
 
 enum class run_end
@@ -115,6 +116,10 @@
     double speed = 1;
     /// Recent share of the cores used by runs of each priority class, 0 to 1.
     std::array<double, priority_classes> class_load{};
+    /// Crashes of the target under running tasks that this agent has observed.
+    std::uint64_t crash_count = 0;
+    /// Routes of the runs that started right before the last crash, if that was recent.
+    std::vector<std::string> crash_routes;
 };
 
 /// Heartbeat of an entry to an agent.
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -511,6 +511,11 @@
     {
         status.starts_seen = found->second.starts_seen;
     }
+    status.crash_count = this->crash_count;
+    if (now - this->crashed_at < this->limits.crash_report_time)
+    {
+        status.crash_routes = this->crash_routes;
+    }
     if (this->target)
     {
         status.service = this->target->service;
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -62,6 +62,11 @@
     /// Time since the last answer of the target after which its lease is no longer renewed and no
     /// run is started.
     milliseconds contact_timeout{400};
+    /// Tasks that a target cannot handle mostly crash it at the start. Runs that were older when
+    /// the target was last heard from are not suspected.
+    milliseconds crash_suspicion_time{30};
+    /// Time for which a crash is reported to entries.
+    milliseconds crash_report_time{10'000};
     /// Longest delay of an answer of the target relative to a later one that overtakes it.
     milliseconds max_reordering_delay{1'000};
     /// Time after the end of its lease for which an entry's session is kept.
@@ -289,6 +294,11 @@
     void target_restarted(renewal const& sent);
     /// Whether the target still had the run, as far as this agent knows, when it last answered.
     [[nodiscard]] bool had_run_at_last_contact(entry_run const& run) const;
+    /// Records which routes may have crashed a target that has been lost.
+    void record_crash();
+    /// Whether `run` started so shortly before the target was last heard from that it may have
+    /// crashed it.
+    [[nodiscard]] bool started_before_crash(entry_run const& run) const;
     /// Removes the start of the run from the actions. Returns false if it has been taken.
     bool withdraw_start(entry_run const& run);
     /// Marks the run as lost with its target, unless the target had ended it before.
@@ -328,6 +338,11 @@
     bool has_unknown_runs = false;
     /// Newest incarnation of the target that was draining or removed. Its end is no crash.
     std::uint64_t leaving_incarnation = 0;
+    std::uint64_t crash_count = 0;
+    std::vector<std::string> crash_routes;
+    base::steady_time crashed_at{};
+    /// `target_clock_at` at the last crash that was recorded.
+    base::steady_time last_heard_before_crash{};
     std::optional<base::steady_time> last_tick;
     /// End of the newest pause of this process longer than `limits.contact_timeout`.
     base::steady_time pause_ended_at{};
--- a/filbertroad/dispatch/run_agent_expiry.cpp
+++ b/filbertroad/dispatch/run_agent_expiry.cpp
@@ -18,6 +18,12 @@
     {
         this->return_queued_runs("target unreachable");
     }
+    bool const is_refusing = this->target_clock_at < this->last_unhealthy &&
+                             now - this->last_unhealthy > this->limits.order_timeout;
+    if (this->is_target_silent() || is_refusing)
+    {
+        this->record_crash();
+    }
     this->expire_entries();
     this->expire_leases();
     this->expire_queued();
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -260,6 +260,38 @@
     return run.state != run_state::queued && !was_stopped_before;
 }
 
+bool run_agent::started_before_crash(agent_run const& run) const
+{
+    return run.state != run_state::queued && run.is_start_confirmed &&
+           this->target_clock_at - run.started <= this->limits.crash_suspicion_time;
+}
+
+void run_agent::record_crash()
+{
+    if (this->last_heard_before_crash == this->target_clock_at)
+    {
+        return;
+    }
+    this->last_heard_before_crash = this->target_clock_at;
+    std::set<std::string> routes;
+    this->runs.for_each(
+        [&](agent_run const& run)
+        {
+            if (this->started_before_crash(run))
+            {
+                routes.insert(run.order.route);
+            }
+        });
+    if (routes.empty())
+    {
+        return;
+    }
+    ++this->crash_count;
+    this->crashed_at = this->clock.steady_now();
+    this->crash_routes.assign(routes.begin(), routes.end());
+    this->mark_status_changed();
+}
+
 void run_agent::mark_lost_with_target(agent_run& run) const
 {
     if (!run.is_target_lost && this->had_run_at_last_contact(run))
@@ -278,6 +310,10 @@
 void run_agent::target_restarted(renewal const& sent)
 {
     bool const has_crashed = this->leaving_incarnation != this->listed_incarnation;
+    if (has_crashed)
+    {
+        this->record_crash();
+    }
     this->runs.for_each(
         [&](agent_run& run)
         {
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -645,19 +645,6 @@
     EXPECT_TRUE(this->report("t")->target_lost);
 }
 
-// Guards against two runs of a task: an entry that was frozen sends a start and its cancellation at
-// once, and starts the task elsewhere because the agent was silent (property test, seed 2).
-TEST_F(run_agent_test, run_cancelled_together_with_its_order_does_not_start)
-{
-    this->connect("e");
-    this->agent.start_ordered("e", make_order("t", 3'000));
-    this->agent.cancel_ordered("e", {"t", 1});
-    this->collect();
-    EXPECT_TRUE(this->starts.empty());
-    ASSERT_NE(this->report("t"), nullptr);
-    EXPECT_EQ(this->report("t")->end, run_end::not_started);
-}
-
 // Guards against a target that seems slow after it has crashed: the time until the loss of its runs
 // was certain counted as run time, and it got too few tasks for seconds.
 TEST_F(run_agent_test, crash_of_the_target_does_not_lower_its_speed)
@@ -672,6 +659,78 @@
     EXPECT_EQ(this->agent.make_status("e").speed, speed);
 }
 
+// Guards against blaming every run on a target that crashes: only those that had just started are
+// likely to have crashed it.
+TEST_F(run_agent_test, status_names_the_routes_that_started_right_before_a_crash)
+{
+    this->connect("e");
+    auto order = make_order("old", 3'000);
+    order.route = "bystander";
+    this->agent.start_ordered("e", order);
+    this->collect();
+    this->advance_time(milliseconds(100), {"e"});
+    order = make_order("new", 3'000);
+    order.route = "culprit";
+    this->agent.start_ordered("e", order);
+    this->collect();
+    this->renew();
+    EXPECT_EQ(this->agent.make_status("e").crash_count, 0U);
+    this->advance_time(milliseconds(1'200), {"e"}, false);
+    this->incarnation = 2;
+    this->on_target.clear();
+    this->renew();
+    EXPECT_EQ(this->agent.make_status("e").crash_count, 1U);
+    EXPECT_EQ(this->agent.make_status("e").crash_routes, std::vector<std::string>{"culprit"});
+}
+
+// Guards against a route that goes on crashing targets until the silence of the earlier ones is
+// noticed, and against a crash that is reported because a live target refused a start.
+TEST_F(run_agent_test, crash_is_reported_when_a_target_that_refuses_starts_does_not_answer)
+{
+    this->connect("e");
+    for (bool const answers : {true, false})
+    {
+        std::string const running = answers ? "a" : "b";
+        std::string const refused = answers ? "c" : "d";
+        this->answers_starts = true;
+        this->order("e", running, 3'000);
+        this->clock.advance(milliseconds(1));
+        this->answers_starts = false;
+        this->order("e", refused, 3'000);
+        this->agent.start_answered({refused, 1}, start_answer::unhealthy);
+        this->is_poll_requested = false;
+        this->collect();
+        EXPECT_TRUE(this->is_poll_requested);
+        this->advance_time(milliseconds(100), {"e"}, answers);
+        EXPECT_EQ(this->agent.make_status("e").crash_count, answers ? 0U : 1U);
+        this->advance_time(agent_limits{}.unhealthy_backoff, {"e"});
+    }
+}
+
+// Guards against evidence that never expires at entries that connect later.
+TEST_F(run_agent_test, crash_is_reported_for_a_limited_time)
+{
+    this->connect("e");
+    this->order("e", "t", 3'000);
+    this->advance_time(milliseconds(1'200), {"e"}, false);
+    EXPECT_EQ(this->agent.make_status("e").crash_routes, std::vector<std::string>{"route"});
+    this->advance_time(agent_limits{}.crash_report_time, {"e"}, false);
+    EXPECT_TRUE(this->agent.make_status("e").crash_routes.empty());
+}
+
+// Guards against two runs of a task: an entry that was frozen sends a start and its cancellation at
+// once, and starts the task elsewhere because the agent was silent (property test, seed 2).
+TEST_F(run_agent_test, run_cancelled_together_with_its_order_does_not_start)
+{
+    this->connect("e");
+    this->agent.start_ordered("e", make_order("t", 3'000));
+    this->agent.cancel_ordered("e", {"t", 1});
+    this->collect();
+    EXPECT_TRUE(this->starts.empty());
+    ASSERT_NE(this->report("t"), nullptr);
+    EXPECT_EQ(this->report("t")->end, run_end::not_started);
+}
+
 // Guards against starts on a target that has crashed: it accepted no connection, and starts were
 // open again after the backoff although it had not answered since.
 TEST_F(run_agent_test, unhealthy_target_gets_no_starts_before_it_answers)
--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -278,6 +278,10 @@
         out.status = this->agent.make_status(entry.name);
         out.status->accepting = out.status->accepting && !entry.released_at;
         out.status->snapshot_offset = this->control_state.current().offset;
+        if (std::exchange(this->crash_count, out.status->crash_count) != out.status->crash_count)
+        {
+            ++this->details_version;
+        }
         out.has_status_details = now - entry.last_details_sent >= max_status_interval ||
                                  entry.sent_details != this->details_version;
         if (out.has_status_details)
@@ -381,6 +385,7 @@
     /// Number of changes of load, and of announcements of the target.
     std::uint64_t load_version = 0;
     std::uint64_t details_version = 0;
+    std::uint64_t crash_count = 0;
     bool was_reachable = true;
     std::string last_unavailable_reason;
     std::function<void()> on_stopped;
--- a/filbertroad/node/agent_node_test.cpp
+++ b/filbertroad/node/agent_node_test.cpp
@@ -111,7 +111,8 @@
                 .resources = {3'000, 10, 0},
                 .estimate = milliseconds(200),
                 .priority = 0,
-                .queue_timeout = milliseconds(1'000)};
+                .queue_timeout = milliseconds(1'000),
+                .route = "route"};
     }
 
     void send(frame const& content)
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -297,6 +297,8 @@
         status.zone = state.details.zone;
         status.capacity = state.details.capacity;
         status.class_load = state.details.class_load;
+        status.crash_count = state.details.crash_count;
+        status.crash_routes = state.details.crash_routes;
     }
 
     void send_heartbeat_if_due(agent_link& state)
--- a/filbertroad/node/frame.cpp
+++ b/filbertroad/node/frame.cpp
@@ -46,6 +46,7 @@
     out.set_estimate_ms(to_wire(order.estimate));
     out.set_priority(order.priority);
     out.set_useful_for_ms(to_wire(order.queue_timeout));
+    out.set_route(order.route);
 }
 
 dispatch::start_order read(wire::run_order const& in)
@@ -55,7 +56,8 @@
             .resources = read(in.room()),
             .estimate = milliseconds(in.estimate_ms()),
             .priority = in.priority(),
-            .queue_timeout = milliseconds(in.useful_for_ms())};
+            .queue_timeout = milliseconds(in.useful_for_ms()),
+            .route = in.route()};
 }
 
 wire::run_outcome to_wire(dispatch::run_end end)
@@ -118,6 +120,11 @@
     {
         out.add_class_load(share);
     }
+    out.set_crash_count(status.crash_count);
+    for (auto const& route : status.crash_routes)
+    {
+        out.add_crash_routes(route);
+    }
 }
 
 void write(dispatch::target_status const& status, wire::agent_load& out)
@@ -156,6 +163,8 @@
     auto const shares = std::min<std::size_t>(static_cast<std::size_t>(in.class_load_size()),
                                               dispatch::priority_classes);
     std::copy_n(in.class_load().begin(), shares, status.class_load.begin());
+    status.crash_count = in.crash_count();
+    status.crash_routes.assign(in.crash_routes().begin(), in.crash_routes().end());
     return status;
 }
 
--- a/filbertroad/node/frame_test.cpp
+++ b/filbertroad/node/frame_test.cpp
@@ -75,6 +75,24 @@
     EXPECT_FALSE(decoded->reports[2].target_lost);
 }
 
+// Guards against a route that crashes targets and is started everywhere, because entries are not
+// told of the crashes.
+TEST(frame_test, crashes_and_the_route_of_an_order_round_trip)
+{
+    frame content;
+    content.starts = {make_order("a", "payload")};
+    content.starts[0].route = "route";
+    content.status = dispatch::target_status{};
+    content.status->crash_count = 2;
+    content.status->crash_routes = {"route", "other"};
+    content.has_status_details = true;
+    auto const decoded = decode_frame(encode_frame(content, protocol_version));
+    ASSERT_TRUE(decoded && decoded->status);
+    EXPECT_EQ(decoded->starts[0].route, "route");
+    EXPECT_EQ(decoded->status->crash_count, 2U);
+    EXPECT_EQ(decoded->status->crash_routes, content.status->crash_routes);
+}
+
 TEST(frame_test, status_leaves_out_details_for_receivers_that_keep_them)
 {
     frame content;
