--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -37,6 +37,18 @@
     return static_cast<double>(resources.cpu) / 1000;
 }
 
+/// Time for which a run that was lost with its target was known to run. The time until the loss was
+/// certain says nothing about the speed of the target.
+milliseconds time_until_target_lost(agent_run const& run)
+{
+    if (!run.is_start_confirmed)
+    {
+        return milliseconds(0);
+    }
+    auto const end = std::max(run.started, run.target_last_heard);
+    return std::max(internal::elapsed(run.started, end), milliseconds(1));
+}
+
 std::size_t class_of(std::uint32_t priority)
 {
     return std::min<std::size_t>(priority, priority_classes - 1);
@@ -295,7 +307,9 @@
     {
         return "stop unconfirmed";
     }
-    if (this->clock.steady_now() < this->backoff_until)
+    // A target that has not answered since it refused a start may have crashed.
+    if (this->clock.steady_now() < this->backoff_until ||
+        this->target_clock_at < this->last_unhealthy)
     {
         return "target unhealthy";
     }
@@ -376,6 +390,12 @@
     {
         return;
     }
+    if (this->withdraw_start(run))
+    {
+        auto const task = run.order.id.task;
+        this->end_run(task, run_end::not_started, reason);
+        return;
+    }
     this->runs.change(run, run_state::stopping);
     run.stop_reason = reason;
     // The entry counts from the end of its lease, which this agent may notice late.
@@ -383,6 +403,17 @@
     this->send_stop(run);
 }
 
+bool run_agent::withdraw_start(agent_run const& run)
+{
+    run_id const id{run.order.id.task, run.target_run};
+    return std::erase_if(this->actions,
+                         [&](agent_action const& action)
+                         {
+                             auto const* const start = std::get_if<start_run>(&action);
+                             return start != nullptr && start->id == id;
+                         }) > 0;
+}
+
 void run_agent::send_stop(agent_run& run)
 {
     run.stop_sent = this->clock.steady_now();
@@ -408,7 +439,9 @@
         internal::elapsed(run->arrived, was_started ? run->started : this->clock.steady_now());
     if (was_started)
     {
-        report.elapsed = internal::elapsed(run->started, this->clock.steady_now());
+        report.elapsed = report.target_lost
+                             ? time_until_target_lost(*run)
+                             : internal::elapsed(run->started, this->clock.steady_now());
     }
     auto const expected = static_cast<double>(run->order.estimate.count()) / this->speed.value();
     bool const was_slow = static_cast<double>(report.elapsed.count()) > expected;
@@ -480,6 +513,11 @@
     {
         status.starts_seen = found->second.starts_seen;
     }
+    status.crash_count = this->crash_count;
+    if (now - this->crashed_at < this->limits.crash_report_time)
+    {
+        status.crash_routes = this->crash_routes;
+    }
     if (this->target)
     {
         status.service = this->target->service;
--- a/filbertroad/dispatch/run_agent_expiry.cpp
+++ b/filbertroad/dispatch/run_agent_expiry.cpp
@@ -18,6 +18,12 @@
     {
         this->return_queued_runs("target unreachable");
     }
+    bool const is_refusing = this->target_clock_at < this->last_unhealthy &&
+                             now - this->last_unhealthy > this->limits.order_timeout;
+    if (this->is_target_silent() || is_refusing)
+    {
+        this->record_crash();
+    }
     this->expire_entries();
     this->expire_leases();
     this->expire_queued();
@@ -62,8 +68,10 @@
         {
             if (run.is_start_confirmed && run.state != run_state::queued)
             {
-                run.is_target_lost =
-                    run.is_target_lost || (is_silent && this->had_run_at_last_contact(run));
+                if (is_silent)
+                {
+                    this->mark_lost_with_target(run);
+                }
                 ended_tasks.push_back(run.order.id.task);
             }
         });
