Withdraw a start only when its run is cancelled

An agent could crash: it withdrew starts that were not sent yet wherever it stopped a run, also while it went through all runs, when an entry had restarted, fallen silent, or the target had restarted. The run was removed from the table under the iteration.

Only a cancellation needs it, which looks up one run.

--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -234,11 +234,19 @@
 void run_agent::cancel_ordered(std::string_view entry, run_id const& id)
 {
     auto* const run = this->runs.find(id.task);
-    if (run != nullptr && run->entry == entry && run->order.id == id)
+    if (run == nullptr || run->entry != entry || run->order.id != id)
+    {
+        return;
+    }
+    if (this->withdraw_start(*run))
+    {
+        this->end_run(id.task, run_end::not_started, "cancelled");
+    }
+    else
     {
         this->stop(*run, "cancelled");
-        this->start_queued();
     }
+    this->start_queued();
 }
 
 void run_agent::report_acknowledged(std::string_view entry, run_id const& id)
@@ -390,12 +398,6 @@
     {
         return;
     }
-    if (this->withdraw_start(run))
-    {
-        auto const task = run.order.id.task;
-        this->end_run(task, run_end::not_started, reason);
-        return;
-    }
     this->runs.change(run, run_state::stopping);
     run.stop_reason = reason;
     // The entry counts from the end of its lease, which this agent may notice late.
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -817,6 +817,21 @@
     EXPECT_EQ(this->report("t")->end, run_end::not_started);
 }
 
+// Guards against runs that are removed while the agent goes through all of them: only a cancelled
+// start is withdrawn.
+TEST_F(run_agent_test, runs_that_are_to_start_are_stopped_when_their_entry_restarts)
+{
+    this->connect("e");
+    for (auto const* const task : {"a", "b", "c"})
+    {
+        this->agent.start_ordered("e", make_order(task, 1'000));
+    }
+    this->agent.entry_connected({"e", 2});
+    this->collect();
+    EXPECT_EQ(this->stops.size(), 3U);
+    EXPECT_TRUE(this->running().empty());
+}
+
 // Guards against starts on a target that has crashed: it accepted no connection, and starts were
 // open again after the backoff although it had not answered since.
 TEST_F(run_agent_test, unhealthy_target_gets_no_starts_before_it_answers)
