Forget the recent work of routes that are no longer used

An entry kept the sum of the work of each route that it has ever had, although routes come and go with the configuration. Sums without an addition for 200 s, twenty times their decay time, are dropped when a new route appears.

--- a/filbertroad/dispatch/internal/route_work.hpp
+++ b/filbertroad/dispatch/internal/route_work.hpp
@@ -30,6 +30,12 @@
         return this->sum * std::exp(-age / decay_time);
     }
 
+    /// Whether nothing has been added for so long that the sum no longer matters.
+    [[nodiscard]] bool is_negligible(base::steady_time now) const
+    {
+        return now - this->updated > 20 * decay_time;
+    }
+
 private:
     /// It covers many jobs of infrequent routes.
     static constexpr std::chrono::duration<double> decay_time{10};
--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -100,13 +100,7 @@
     {
         this->tasks[added.tasks[index].name] = {&added, index};
     }
-    double work = 0;
-    for (auto const& step : steps)
-    {
-        work += static_cast<double>(step.estimate.count()) * step.count *
-                static_cast<double>(step.resources.cpu) / 1000;
-    }
-    this->recent_work[{added.request.service, added.request.route}].add(work, now);
+    this->record_work(added.request);
     auto const is_full = this->jobs.size() >= this->limits.max_jobs;
     this->jobs.emplace(added.request.key, std::move(owned));
     if (is_full)
@@ -214,6 +208,25 @@
     }
 }
 
+void job_dispatcher::record_work(job_request const& request)
+{
+    auto const now = this->clock.steady_now();
+    double work = 0;
+    for (auto const& step : request.steps)
+    {
+        work += static_cast<double>(step.estimate.count()) * step.count *
+                static_cast<double>(step.resources.cpu) / 1000;
+    }
+    auto const [found, is_new] = this->recent_work.try_emplace({request.service, request.route});
+    found->second.add(work, now);
+    if (is_new)
+    {
+        // Routes come and go with the configuration.
+        std::erase_if(this->recent_work,
+                      [&](auto const& item) { return item.second.is_negligible(now); });
+    }
+}
+
 void job_dispatcher::handle_run_end(job& parent_job, task& item, std::string_view agent,
                                     run_report const& report)
 {
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -293,6 +293,7 @@
     void admit(job& parent_job);
     void remove_if_ended(job& parent_job);
     void finish(job& parent_job, job_outcome outcome, std::string_view reason);
+    void record_work(job_request const& request);
     void check_job(job& parent_job);
     void check_task(job& parent_job, task& item);
     void handle_run_end(job& parent_job, task& item, std::string_view agent,
