--- a/review/3/case.py
+++ b/review/3/case.py
@@ -76,9 +76,7 @@
         due = max(acknowledged + EVACUATE_S, calm + CONTACT_S)
         breaches = []
         for executor in deployment.executors.values():
-            runs = executor.history + [(task, run, executor.started_at[task], None, "")
-                                       for task, (run, _) in executor.runs.items()]
-            for task, run, started, _, _ in runs:
+            for task, run, started, _, _ in executor.all_runs():
                 if executor.zone == "zone-2" and started > due + 0.05:
                     breaches.append(
                         f"{executor.name} in zone-2 started {task} run {run} at {started:.3f}, "
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -351,7 +351,7 @@
         self.state = "ready"
         self.sequence = 0
         self.agent = None
-        self.runs = {}      # task -> [run, end event handle]
+        self.runs = {}      # (task, run) -> handle of the end of its work
         self.ended = {}     # task -> highest run that ended or was stopped here
         self.finished = []  # [N, task, run, how, saved]
         self.numbers = 0
@@ -397,22 +397,26 @@
         if deadline is not None:
             self.lease = max(self.lease, min(int(deadline), self.clock() + self.hold_max_ms))
 
+    def all_runs(self):
+        """Rows of task, run, start, end and how; without an end, a run goes on."""
+        return self.history + [(task, run, self.started_at[task, run], None, "")
+                               for task, run in self.runs]
+
     async def watch_lease(self):
         while True:
             await asyncio.sleep(0.005)
             if self.runs and self.clock() >= self.lease:
-                for task in list(self.runs):
-                    await self.end(task, self.runs[task][0], "lapsed")
+                for task, run in list(self.runs):
+                    await self.end(task, run, "lapsed")
 
     async def end(self, task, run, how):
-        if task not in self.runs or self.runs[task][0] != run:
+        if (task, run) not in self.runs:
             return
-        _, handle = self.runs.pop(task)
-        handle.cancel()
+        self.runs.pop((task, run)).cancel()
         self.ended[task] = max(run, self.ended.get(task, 0))
         self.numbers += 1
         self.finished.append([self.numbers, task, run, how, ""])
-        self.history.append((task, run, self.started_at.pop(task), self.record.now(), how))
+        self.history.append((task, run, self.started_at.pop((task, run)), self.record.now(), how))
         self.record.write(f"{self.name}: end {task} run {run}: {how}")
         async with self.changed:
             self.changed.notify_all()
@@ -446,16 +450,16 @@
         if int(fields["deadline-ms"]) <= self.clock():
             return self.answer(409, reason="late")
         self.extend(fields["deadline-ms"])
-        if task in self.runs and self.runs[task][0] == run:
+        if (task, run) in self.runs:
             return self.answer(200)
-        if run <= self.ended.get(task, 0) or task in self.runs:
+        if run <= self.ended.get(task, 0):
             return self.answer(409, reason="old")
         work = int(fields["task-spec"].split(" ")[1]) / 1000
         loop = asyncio.get_running_loop()
         handle = loop.call_later(
             work, lambda: asyncio.ensure_future(self.end(task, run, "done")))
-        self.runs[task] = (run, handle)
-        self.started_at[task] = self.record.now()
+        self.runs[task, run] = handle
+        self.started_at[task, run] = self.record.now()
         self.record.write(f"{self.name}: start {task} run {run}")
         return self.answer(200)
 
@@ -471,7 +475,7 @@
                         self.changed.wait_for(lambda: len(self.finished) > 0), wait)
             except asyncio.TimeoutError:
                 pass
-        running = [[task, run, "", 100] for task, (run, _) in self.runs.items()]
+        running = [[task, run, "", 100] for task, run in self.runs]
         return self.answer(200, running=running, finished=self.finished[:500])
 
 
