--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -421,6 +421,24 @@
         async with self.changed:
             self.changed.notify_all()
 
+    async def crash(self):
+        """Ends all runs and connections and stops to listen."""
+        self.record.write(f"{self.name}: crash")
+        self.server.drop_all()
+        for task, run in list(self.runs):
+            self.runs.pop((task, run)).cancel()
+            self.history.append((task, run, self.started_at.pop((task, run)), self.record.now(),
+                                 "crash"))
+
+    async def boot(self):
+        """Starts again under the same id and address, and knows nothing of before."""
+        self.ended, self.finished, self.numbers, self.token, self.lease = {}, [], 0, 0, 0
+        self.sequence = 0
+        self.born = max(int(time.time() * 1000), self.born + 1)
+        self.begin = time.monotonic()
+        await self.server.start(self.server.port)
+        self.record.write(f"{self.name}: starts again under its id, born {self.born}")
+
     def answer(self, status, **more):
         return status, json.dumps({"clock-ms": self.clock(), "born": self.born, **more}).encode()
 
