Match the answer to a start with the order, not with its run number

Cause: an agent raises the run number on the target when that refuses a start as stale, so a later run of the entry can have the same number there. The agent matched answers by task and run number. If the target executed the earlier start late and refused it as fenced, the agent took this answer for that of the present start: it put the working run back into its queue and returned it as not started, and the entry started the task once more. The run that worked counted neither for the capacity nor as unknown.

Fix: each start has a number that is unique in its agent and is passed back with the answer. An answer to an order that is not the newest one of its run is ignored.

Related paths: an answer to a stop proves the same for every order with that run number, since the target refuses all runs up to it from then on. Ends and lists name runs and are checked against the token or the time of the request. Neither needs the number.

--- a/filbertroad/dispatch/agent_fixture.hpp
+++ b/filbertroad/dispatch/agent_fixture.hpp
@@ -79,6 +79,16 @@
         this->collect();
     }
 
+    /// Answers the newest start of `task`.
+    void answer_start(std::string const& task, start_answer answer)
+    {
+        auto const start =
+            std::find_if(this->starts.rbegin(), this->starts.rend(),
+                         [&](start_run const& item) { return item.id.task == task; });
+        ASSERT_NE(start, this->starts.rend()) << task;
+        this->agent.start_answered(start->id, start->order_number, answer);
+    }
+
     /// Sends one renewal, which the target answers immediately.
     void renew()
     {
@@ -197,7 +207,7 @@
         if (this->answers_starts)
         {
             this->on_target[action.id.task] = action.id.run;
-            this->agent.start_answered(action.id, start_answer::accepted);
+            this->agent.start_answered(action.id, action.order_number, start_answer::accepted);
         }
     }
 
--- a/filbertroad/dispatch/cluster_simulation.cpp
+++ b/filbertroad/dispatch/cluster_simulation.cpp
@@ -763,14 +763,15 @@
 
 void cluster_simulation::order_start(agent_process& from, start_run const& order)
 {
-    auto const answer =
-        [this, &from, incarnation = from.incarnation](run_id const& id, start_answer result)
+    auto const answer = [this, &from, incarnation = from.incarnation, id = order.id,
+                         number = order.order_number](start_answer result)
     {
         if (from.incarnation != incarnation || from.has_crashed)
         {
             return;
         }
-        auto deliver = [&from, id, result] { from.core->start_answered(id, result); };
+        auto deliver = [&from, id, number, result]
+        { from.core->start_answered(id, number, result); };
         if (this->clock.steady_now() < from.frozen_until)
         {
             from.deferred_events.push_back(deliver);
@@ -786,8 +787,7 @@
         // The order is lost, or is executed seconds later. A restarted target refuses it, since
         // orders name the process that they are addressed to, unless
         // restarted_target_accepts_late_orders is set.
-        this->schedule(milliseconds(60),
-                       [answer, id = order.id] { answer(id, start_answer::none); });
+        this->schedule(milliseconds(60), [answer] { answer(start_answer::none); });
         this->schedule(this->random_duration(300, 4'000),
                        [this, &managed_target, order, incarnation = managed_target.incarnation]
                        {
@@ -804,23 +804,23 @@
                    {
                        if (order.fencing_token < managed_target.highest_token)
                        {
-                           answer(order.id, start_answer::fenced);
+                           answer(start_answer::fenced);
                            return;
                        }
                        if (order.lease_until_ms < managed_target.clock_ms(this->clock))
                        {
-                           answer(order.id, start_answer::lease_expired);
+                           answer(start_answer::lease_expired);
                            return;
                        }
                        auto const highest = managed_target.highest_run.find(order.id.task);
                        if (highest != managed_target.highest_run.end() &&
                            order.id.run <= highest->second)
                        {
-                           answer(order.id, start_answer::stale_run);
+                           answer(start_answer::stale_run);
                            return;
                        }
                        this->begin(managed_target, order);
-                       answer(order.id, start_answer::accepted);
+                       answer(start_answer::accepted);
                    });
 }
 
--- a/filbertroad/dispatch/internal/run_table.hpp
+++ b/filbertroad/dispatch/internal/run_table.hpp
@@ -41,6 +41,8 @@
     /// refused that one as stale.
     std::uint32_t target_run = 0;
     base::steady_time started{};
+    /// Number of the latest start.
+    std::uint64_t order_number = 0;
     /// Fencing token of the latest start.
     std::uint64_t fencing_token = 0;
     /// Whether the target has accepted the start or listed the run.
--- a/filbertroad/dispatch/load_simulation.cpp
+++ b/filbertroad/dispatch/load_simulation.cpp
@@ -347,7 +347,7 @@
     void execute(agent& from, start_run& action)
     {
         from.running[action.id.task] = action.id.run;
-        from.core->start_answered(action.id, start_answer::accepted);
+        from.core->start_answered(action.id, action.order_number, start_answer::accepted);
         auto const work = this->work_of(action.id.task);
         auto const time = std::chrono::duration<double, std::milli>(work / from.speed);
         this->schedule(
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -378,8 +378,10 @@
 {
     this->runs.change(run, run_state::starting);
     run.started = this->clock.steady_now();
+    run.order_number = ++this->last_order_number;
     run.fencing_token = this->fencing_token;
     this->actions.emplace_back(start_run{{run.order.id.task, run.target_run},
+                                         run.order_number,
                                          run.order.payload,
                                          this->grant_lease(),
                                          this->fencing_token});
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -156,6 +156,8 @@
 struct start_run
 {
     run_id id;
+    /// Unique among the starts of an agent, unlike `id`; passed back with the answer.
+    std::uint64_t order_number = 0;
     std::string payload;
     std::uint64_t lease_until_ms = 0;
     std::uint64_t fencing_token = 0;
@@ -215,7 +217,9 @@
     /// The entry has received the report, which is then no longer resent.
     void report_acknowledged(std::string_view entry, run_id const& id);
 
-    void start_answered(run_id const& id, start_answer answer);
+    /// `id` and `order_number` are those of the start that is answered. Ignored if the run has
+    /// ended or has been started anew since.
+    void start_answered(run_id const& id, std::uint64_t order_number, start_answer answer);
     /// `answered` is false if the target did not answer.
     void stop_answered(run_id const& id, bool answered);
 
@@ -352,6 +356,7 @@
     /// End of the newest pause of this process longer than `limits.contact_timeout`.
     base::steady_time pause_ended_at{};
     std::uint64_t last_seen = 0;
+    std::uint64_t last_order_number = 0;
     bool recovered = false;
     bool zone_out_of_service = false;
     bool shutting_down = false;
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -21,10 +21,11 @@
 
 } // namespace
 
-void run_agent::start_answered(run_id const& id, start_answer answer)
+void run_agent::start_answered(run_id const& id, std::uint64_t order_number, start_answer answer)
 {
     auto* const run = this->runs.find(id.task);
-    if (run == nullptr || run->target_run != id.run || run->state == run_state::queued)
+    // The target may have refused an earlier start with the same run number.
+    if (run == nullptr || run->order_number != order_number || run->state == run_state::queued)
     {
         return;
     }
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -111,7 +111,7 @@
     this->answers_starts = false;
     this->order("e", "large", 9'000);
     this->announce_capacity({5'000, 1'000, 0});
-    this->agent.start_answered({"large", 1}, start_answer::insufficient_resources);
+    this->answer_start("large", start_answer::insufficient_resources);
     this->agent.tick();
     this->collect();
     ASSERT_NE(this->report("large"), nullptr);
@@ -271,7 +271,7 @@
     this->answers_starts = false;
     this->order("e", "t", 3'000);
     auto const early = this->agent.make_renewal();
-    this->agent.start_answered({"t", 1}, start_answer::none);
+    this->answer_start("t", start_answer::none);
     this->collect();
     this->agent.renewal_answered(early, this->list());
     this->collect();
@@ -290,7 +290,7 @@
     this->connect("e");
     this->answers_starts = false;
     this->order("e", "t", 3'000);
-    this->agent.start_answered({"t", 1}, start_answer::none);
+    this->answer_start("t", start_answer::none);
     this->collect();
     this->is_poll_requested = false;
     this->advance_time(milliseconds(100), {"e"}, false);
@@ -304,7 +304,7 @@
     this->order("e", "t", 3'000);
     this->on_target["t"] = 1;
     this->renew();
-    this->agent.start_answered({"t", 1}, start_answer::none);
+    this->answer_start("t", start_answer::none);
     this->collect();
     EXPECT_TRUE(this->stops.empty());
     this->finish("t");
@@ -317,7 +317,7 @@
     this->connect("e");
     this->answers_starts = false;
     this->order("e", "t", 3'000);
-    this->agent.start_answered({"t", 1}, start_answer::stale_run);
+    this->answer_start("t", start_answer::stale_run);
     this->answers_starts = true;
     this->advance_time(milliseconds(25), {"e"});
     ASSERT_EQ(this->starts.size(), 2U);
@@ -327,12 +327,46 @@
     EXPECT_EQ(this->report("t")->id.run, 1U);
 }
 
+// Guards against a second run beside one whose run number on the target was used before: the answer
+// to the earlier order with that number is not the answer to the present one.
+TEST_F(run_agent_test, answer_to_an_earlier_start_with_the_same_run_number_is_ignored)
+{
+    this->connect("e");
+    this->answers_starts = false;
+    this->order("e", "t", 3'000);
+    this->answer_start("t", start_answer::stale_run);
+    this->advance_time(milliseconds(25), {"e"}, false);
+    ASSERT_EQ(this->starts.size(), 2U);
+    auto const earlier = this->starts.back();
+    this->order("e", "other", 3'000);
+    this->answer_start("other", start_answer::none);
+    this->collect();
+    this->renew();
+    ASSERT_NE(this->report("t"), nullptr);
+    EXPECT_EQ(this->report("t")->end, run_end::lost);
+    this->reports.clear();
+
+    this->answers_starts = true;
+    this->order("e", "t", 3'000, 0, 2);
+    ASSERT_EQ(this->starts.back().id, earlier.id);
+    this->agent.start_answered(earlier.id, earlier.order_number, start_answer::fenced);
+    this->collect();
+    auto const start_count = this->starts.size();
+    this->advance_time(milliseconds(100), {"e"});
+    EXPECT_EQ(this->starts.size(), start_count) << "started although it runs";
+    EXPECT_EQ(this->agent.make_status("e").free.cpu, 6'000);
+    this->finish("t");
+    this->renew();
+    ASSERT_NE(this->report("t"), nullptr);
+    EXPECT_EQ(this->report("t")->end, run_end::succeeded);
+}
+
 TEST_F(run_agent_test, fenced_start_is_repeated_with_a_higher_token)
 {
     this->connect("e");
     this->answers_starts = false;
     this->order("e", "t", 3'000);
-    this->agent.start_answered({"t", 1}, start_answer::fenced);
+    this->answer_start("t", start_answer::fenced);
     this->answers_starts = true;
     this->advance_time(milliseconds(25), {"e"});
     ASSERT_EQ(this->starts.size(), 2U);
@@ -432,7 +466,7 @@
     this->connect("e");
     this->answers_starts = false;
     this->order("e", "t", 3'000);
-    this->agent.start_answered({"t", 1}, start_answer::none);
+    this->answer_start("t", start_answer::none);
     this->collect();
     EXPECT_GT(this->agent.make_renewal().fencing_token, this->starts[0].fencing_token);
 }
@@ -446,9 +480,9 @@
     auto const renewal = this->agent.make_renewal();
     this->order("e", "a", 3'000);
     this->order("e", "b", 3'000);
-    this->agent.start_answered({"a", 1}, start_answer::none);
+    this->answer_start("a", start_answer::none);
     auto const raised = this->agent.make_renewal().fencing_token;
-    this->agent.start_answered({"b", 1}, start_answer::fenced);
+    this->answer_start("b", start_answer::fenced);
     this->agent.renewal_fenced(renewal);
     EXPECT_EQ(this->agent.make_renewal().fencing_token, raised);
 }
@@ -480,7 +514,7 @@
     this->order("e", "first", 9'000);
     this->order("e", "second", 9'000);
     this->answers_starts = true;
-    this->agent.start_answered({"first", 1}, start_answer::not_sent);
+    this->answer_start("first", start_answer::not_sent);
     this->renew();
     EXPECT_EQ(this->running(), tasks{"first"});
     EXPECT_EQ(this->report("first"), nullptr);
@@ -669,7 +703,7 @@
     { restarted.entry_heartbeat_received("e", restarted.make_status("e").stamp_ms); };
     beat();
     restarted.start_ordered("e", make_order("a", 3'000));
-    restarted.start_answered({"a", 1}, start_answer::accepted);
+    restarted.start_answered({"a", 1}, 1, start_answer::accepted);
     for (milliseconds passed{}; passed < milliseconds(1'000); passed += milliseconds(25))
     {
         this->clock.advance(milliseconds(25));
@@ -723,7 +757,7 @@
     this->connect("e");
     this->answers_starts = false;
     this->order("e", "t", 3'000);
-    this->agent.start_answered({"t", 1}, start_answer::none);
+    this->answer_start("t", start_answer::none);
     this->incarnation = 2;
     this->clock.advance(milliseconds(1));
     this->renew();
@@ -783,7 +817,7 @@
         this->clock.advance(milliseconds(1));
         this->answers_starts = false;
         this->order("e", refused, 3'000);
-        this->agent.start_answered({refused, 1}, start_answer::unhealthy);
+        this->answer_start(refused, start_answer::unhealthy);
         this->is_poll_requested = false;
         this->collect();
         EXPECT_TRUE(this->is_poll_requested);
@@ -840,7 +874,7 @@
     this->answers_starts = false;
     this->order("e", "a", 3'000);
     this->clock.advance(milliseconds(1));
-    this->agent.start_answered({"a", 1}, start_answer::unhealthy);
+    this->answer_start("a", start_answer::unhealthy);
     this->advance_time(agent_limits{}.unhealthy_backoff, {"e"}, false);
     EXPECT_FALSE(this->agent.make_status("e").accepting);
     this->renew();
@@ -979,7 +1013,7 @@
     this->connect("e");
     this->answers_starts = false;
     this->order("e", "t", 3'000);
-    this->agent.start_answered({"t", 1}, start_answer::none);
+    this->answer_start("t", start_answer::none);
     this->collect();
     ASSERT_TRUE(this->is_poll_requested);
     this->renew();
--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -305,9 +305,10 @@
     void execute(dispatch::start_run& action)
     {
         this->target.start(action,
-                           [this, id = action.id](dispatch::start_answer answer)
+                           [this, id = action.id,
+                            order_number = action.order_number](dispatch::start_answer answer)
                            {
-                               this->agent.start_answered(id, answer);
+                               this->agent.start_answered(id, order_number, answer);
                                this->schedule_flush();
                            });
     }
