Use only the announcement of the process that answers the agent

Cause: an agent took the announcement with the highest start time for that of its target. One status report under the target's id, or one record in the store under the agent's key, with a start time that no process ever has, hid every later report of the target for good. Such a report may come from another program. Independently of that, start and stop orders named the process of the last report, also of one that the agent ignored as late, so that the target refused them until its next report.

Orders name the process in use, or none while it has not been announced.

--- /dev/null
+++ b/filbertroad/dispatch/internal/target_announcements.hpp
@@ -0,0 +1,46 @@
+#ifndef FILBERTROAD_DISPATCH_INTERNAL_TARGET_ANNOUNCEMENTS_HPP
+#define FILBERTROAD_DISPATCH_INTERNAL_TARGET_ANNOUNCEMENTS_HPP
+
+/// The newest announcement of each process that was announced at an agent. An announcement may come
+/// from another program, with an incarnation that the target never had. It therefore affects only
+/// announcements of the same incarnation. Which of the processes runs is known from the target's
+/// lists. Not thread-safe.
+///
+///     target_announcements announcements;
+///     if (announcements.receive(announcement, now)) use(*announcements.find(incarnation));
+
+#include "filbertroad/base/clock.hpp"
+#include "filbertroad/dispatch/target_announcement.hpp"
+
+#include <map>
+#include <string_view>
+
+namespace filbertroad::dispatch::internal
+{
+
+class target_announcements
+{
+public:
+    /// Returns false if the announcement has no effect, since it was repeated or delayed.
+    bool receive(target_announcement const& announcement, base::steady_time now);
+    /// Removes the announcements of all processes of this name.
+    void remove(std::string_view name);
+    /// Newest announcement of a process; null if there is none. Valid until the next change.
+    [[nodiscard]] target_announcement const* find(std::uint64_t incarnation) const;
+
+private:
+    struct process_record
+    {
+        target_announcement newest;
+        base::steady_time last_received{};
+    };
+
+    static bool update(process_record& process, target_announcement const& announcement);
+    void drop_surplus();
+
+    std::map<std::uint64_t, process_record> processes;
+};
+
+} // namespace filbertroad::dispatch::internal
+
+#endif
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -65,29 +65,40 @@
 
 void run_agent::target_announced(target_announcement const& announcement)
 {
-    if (this->target)
+    if (!this->announcements.receive(announcement, this->clock.steady_now()))
     {
-        bool const is_earlier = announcement.incarnation < this->target->incarnation;
-        bool const is_repeat = announcement.incarnation == this->target->incarnation &&
-                               announcement.name == this->target->name &&
-                               announcement.sequence <= this->target->sequence;
-        if (is_earlier || is_repeat)
-        {
-            return;
-        }
+        return;
+    }
+    bool const has_answered = this->listed_incarnation != 0;
+    this->use_announcement(has_answered ? this->listed_incarnation : announcement.incarnation);
+    this->start_queued();
+    this->mark_status_changed();
+}
+
+void run_agent::use_announcement(std::uint64_t incarnation)
+{
+    auto const* const announcement = this->announcements.find(incarnation);
+    if (announcement == nullptr)
+    {
+        return;
     }
-    this->target = announcement;
-    if (announcement.draining)
+    this->target = *announcement;
+    if (announcement->draining)
     {
-        this->leaving_incarnation = announcement.incarnation;
+        this->leaving_incarnation = announcement->incarnation;
         this->return_queued_runs("target draining");
     }
-    this->start_queued();
-    this->mark_status_changed();
+}
+
+std::string run_agent::answering_process() const
+{
+    bool const is_announced = this->target && this->target->incarnation == this->listed_incarnation;
+    return is_announced ? this->target->name : std::string();
 }
 
 void run_agent::target_removed(std::string_view name)
 {
+    this->announcements.remove(name);
     if (this->target && this->target->name == name)
     {
         this->leaving_incarnation = this->target->incarnation;
@@ -382,6 +393,7 @@
     run.fencing_token = this->fencing_token;
     this->actions.emplace_back(start_run{{run.order.id.task, run.target_run},
                                          run.order_number,
+                                         this->answering_process(),
                                          run.order.payload,
                                          this->grant_lease(),
                                          this->fencing_token});
@@ -422,7 +434,8 @@
 {
     run.stop_sent = this->clock.steady_now();
     run.is_stop_answered = false;
-    this->actions.emplace_back(stop_run{{run.order.id.task, run.target_run}, this->fencing_token});
+    this->actions.emplace_back(stop_run{
+        {run.order.id.task, run.target_run}, this->answering_process(), this->fencing_token});
 }
 
 void run_agent::return_queued_runs(std::string_view reason)
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -22,7 +22,9 @@
 #include "filbertroad/dispatch/internal/class_load.hpp"
 #include "filbertroad/dispatch/internal/run_table.hpp"
 #include "filbertroad/dispatch/internal/speed_estimate.hpp"
+#include "filbertroad/dispatch/internal/target_announcements.hpp"
 #include "filbertroad/dispatch/messages.hpp"
+#include "filbertroad/dispatch/target_announcement.hpp"
 
 #include <map>
 #include <optional>
@@ -73,19 +75,6 @@
     milliseconds session_retention{30'000};
 };
 
-/// Announcement of a target about itself.
-struct target_announcement
-{
-    std::string name;
-    /// Start time of the target's process in Unix milliseconds. A process restarted under the same
-    /// name has a greater one.
-    std::uint64_t incarnation = 0;
-    std::string service;
-    model::resources capacity;
-    bool draining = false;
-    std::uint64_t sequence = 0;
-};
-
 /// A run that the target lists as running.
 struct listed_run
 {
@@ -158,6 +147,8 @@
     run_id id;
     /// Unique among the starts of an agent, unlike `id`; passed back with the answer.
     std::uint64_t order_number = 0;
+    /// Name of the process that the order is meant for; empty if it is not known.
+    std::string target_process;
     std::string payload;
     std::uint64_t lease_until_ms = 0;
     std::uint64_t fencing_token = 0;
@@ -166,6 +157,8 @@
 struct stop_run
 {
     run_id id;
+    /// As in start_run.
+    std::string target_process;
     std::uint64_t fencing_token = 0;
 };
 
@@ -198,7 +191,8 @@
     run_agent(base::clock const& clock, std::string zone, agent_limits limits,
               std::uint64_t fencing_token);
 
-    /// Ignores a delayed announcement of an earlier incarnation or sequence number.
+    /// Has an effect only if it is, or becomes, the newest announcement of the process that answers
+    /// the renewals.
     void target_announced(target_announcement const& announcement);
     /// The target has been removed permanently.
     void target_removed(std::string_view name);
@@ -251,7 +245,6 @@
     [[nodiscard]] bool is_reachable() const;
     /// Why no run can be started; empty if runs can be started.
     [[nodiscard]] std::string_view unavailable_reason() const;
-    [[nodiscard]] bool has_target() const { return this->target.has_value(); }
 
 private:
     using entry_run = internal::agent_run;
@@ -265,6 +258,10 @@
         std::map<std::string, run_report> unacknowledged;
     };
 
+    /// Uses the newest announcement of the process with `incarnation`, if there is one.
+    void use_announcement(std::uint64_t incarnation);
+    /// Name of the process that answers the renewals; empty if it has not been announced.
+    [[nodiscard]] std::string answering_process() const;
     /// Speed estimate, lowered immediately while several runs take much longer than expected.
     [[nodiscard]] double current_speed() const;
     /// The clock's epoch if the entry has never had a lease.
@@ -332,6 +329,9 @@
     agent_limits limits;
     std::uint64_t fencing_token;
 
+    internal::target_announcements announcements;
+    /// Announcement in use: that of the process that answers the renewals, or that of an earlier
+    /// one until the present one is announced.
     std::optional<target_announcement> target;
     std::uint64_t listed_incarnation = 0;
     /// Newest time read from the target's clock, and when it was received.
--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -225,6 +225,7 @@
         this->listed_incarnation = list.incarnation;
         this->last_seen = 0;
         this->target_clock_ms = 0;
+        this->use_announcement(list.incarnation);
     }
     for (auto const& finish : list.finished)
     {
@@ -456,7 +457,8 @@
         if (!is_known && !this->ended_recently(listed.id))
         {
             this->has_unknown_runs = true;
-            this->actions.emplace_back(stop_run{listed.id, this->fencing_token});
+            this->actions.emplace_back(
+                stop_run{listed.id, this->answering_process(), this->fencing_token});
         }
     }
 }
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -1,5 +1,7 @@
 #include "filbertroad/dispatch/agent_fixture.hpp"
 
+#include <limits>
+
 namespace filbertroad::dispatch
 {
 namespace
@@ -416,6 +418,55 @@
     EXPECT_EQ(this->agent.make_status("e").capacity.cpu, 9'000);
 }
 
+// Guards against an agent that ignores its target for good, since another program has announced a
+// process that never ran.
+TEST_F(run_agent_test, announcement_of_a_process_that_never_ran_does_not_hide_later_ones)
+{
+    auto const never = std::numeric_limits<std::uint64_t>::max();
+    this->connect("e");
+    this->agent.target_announced({"target", never, "other", {90'000, 1'000, 0}, true, 1});
+    this->collect();
+    this->order("e", "a", 3'000);
+    EXPECT_EQ(this->running(), tasks{"a"});
+    this->announce_capacity({5'000, 1'000, 0});
+    EXPECT_EQ(this->agent.make_status("e").capacity.cpu, 5'000);
+
+    ++this->incarnation;
+    this->on_target.clear();
+    this->clock.advance(milliseconds(1));
+    this->announce();
+    this->renew();
+    this->order("e", "b", 3'000);
+    EXPECT_EQ(this->running(), tasks{"b"});
+}
+
+// As before; the announcement is one that the agent has read from the store.
+TEST_F(run_agent_test, record_of_a_process_that_never_ran_does_not_hide_the_target)
+{
+    run_agent restarted(this->clock, "zone-1", {}, 2);
+    auto const never = std::numeric_limits<std::uint64_t>::max();
+    restarted.target_announced({"target", never, "service", this->capacity, false, 1});
+    restarted.renewal_answered(restarted.make_renewal(), this->list());
+    EXPECT_EQ(restarted.unavailable_reason(), "target unreachable");
+    restarted.target_announced({"target", 1, "service", this->capacity, false, 1});
+    EXPECT_EQ(restarted.unavailable_reason(), "");
+}
+
+// Guards against orders that the target refuses since they name another process.
+TEST_F(run_agent_test, orders_name_the_process_that_answers)
+{
+    this->connect("e");
+    for (std::uint64_t const other : {0, 7})
+    {
+        this->agent.target_announced({"other", other, "service", this->capacity, false, 1});
+    }
+    this->order("e", "a", 3'000);
+    EXPECT_EQ(this->starts.back().target_process, "target");
+    this->agent.cancel_ordered("e", {"a", 1});
+    this->collect();
+    EXPECT_EQ(this->stops.back().target_process, "target");
+}
+
 TEST_F(run_agent_test, runs_of_a_restarted_target_are_lost_at_once)
 {
     this->connect("e");
--- /dev/null
+++ b/filbertroad/dispatch/target_announcement.hpp
@@ -0,0 +1,30 @@
+#ifndef FILBERTROAD_DISPATCH_TARGET_ANNOUNCEMENT_HPP
+#define FILBERTROAD_DISPATCH_TARGET_ANNOUNCEMENT_HPP
+
+/// What a target says about itself.
+
+#include "filbertroad/model/resources.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace filbertroad::dispatch
+{
+
+/// Announcement of a process of the target. Anybody who can reach the agent can send one.
+struct target_announcement
+{
+    std::string name;
+    /// Start time of the target's process in Unix milliseconds. A process restarted under the same
+    /// name has a greater one.
+    std::uint64_t incarnation = 0;
+    std::string service;
+    model::resources capacity;
+    bool draining = false;
+    /// Increases with each announcement of the process.
+    std::uint64_t sequence = 0;
+};
+
+} // namespace filbertroad::dispatch
+
+#endif
