Follow a target again after an announcement with a number that it does not reach

Callers saw: their tasks kept starting on a target that drains, and broke off when it ended.

Cause: an agent ignores announcements whose sequence number is not above the highest one that it has received from that process. One status report from another program with the highest number of all hid every later one of the target, its drain among them, for as long as it ran.

Fix: two announcements with rising numbers, of which the second arrives 0.3 s or more after the first, show a live target, and take the place of the one with the higher number; this takes two reports. Announcements that were delayed arrive together and are ignored as before. A drain is obeyed at once, as a process that drains never returns to service: a late one is true as well.

Evidence: on the code before, these two tests failed: dispatch.target_announcements_test.drain_is_obeyed_after_the_highest_sequence_number, dispatch.target_announcements_test.live_target_replaces_an_announcement_with_the_highest_number.

--- a/filbertroad/dispatch/internal/target_announcements.cpp
+++ b/filbertroad/dispatch/internal/target_announcements.cpp
@@ -1,6 +1,7 @@
 #include "filbertroad/dispatch/internal/target_announcements.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 namespace filbertroad::dispatch::internal
 {
@@ -10,6 +11,10 @@
 /// Processes whose announcements are kept.
 constexpr std::size_t max_processes = 8;
 
+/// Shortest time between two announcements of a live process. Delayed announcements arrive
+/// together.
+constexpr std::chrono::milliseconds min_announcement_interval{300};
+
 } // namespace
 
 bool target_announcements::receive(target_announcement const& announcement, base::steady_time now)
@@ -19,22 +24,47 @@
     process.last_received = now;
     if (!is_first)
     {
-        return update(process, announcement);
+        return update(process, announcement, now);
     }
     process.newest = announcement;
     this->drop_surplus();
     return true;
 }
 
-bool target_announcements::update(process_record& process, target_announcement const& announcement)
+bool target_announcements::update(process_record& process, target_announcement const& announcement,
+                                  base::steady_time now)
 {
     auto& newest = process.newest;
-    if (announcement.name == newest.name && announcement.sequence <= newest.sequence)
+    bool const is_same_sender = announcement.name == newest.name;
+    if (is_same_sender && announcement.sequence == newest.sequence)
     {
         return false;
     }
-    newest = announcement;
-    return true;
+    auto const& ignored = process.ignored;
+    // A live process sends higher and higher numbers, though they are lower than the newest one.
+    bool const is_confirmed = ignored && announcement.name == ignored->name &&
+                              announcement.sequence > ignored->sequence &&
+                              now - process.ignored_at >= min_announcement_interval;
+    if (is_confirmed || (is_same_sender && announcement.sequence > newest.sequence))
+    {
+        newest = announcement;
+        process.ignored.reset();
+        return true;
+    }
+    bool const is_first_ignored = !ignored || announcement.name != ignored->name ||
+                                  announcement.sequence <= ignored->sequence;
+    if (is_first_ignored)
+    {
+        process.ignored = announcement;
+        process.ignored_at = now;
+    }
+    // A process that drains ends, so that this holds however late the announcement is.
+    if (is_same_sender && announcement.draining && !newest.draining)
+    {
+        newest.draining = true;
+        return true;
+    }
+    return false;
 }
 
 void target_announcements::remove(std::string_view name)
--- a/filbertroad/dispatch/internal/target_announcements.hpp
+++ b/filbertroad/dispatch/internal/target_announcements.hpp
@@ -2,9 +2,10 @@
 #define FILBERTROAD_DISPATCH_INTERNAL_TARGET_ANNOUNCEMENTS_HPP
 
 /// The newest announcement of each process that was announced at an agent. An announcement may come
-/// from another program, with an incarnation that the target never had. It therefore affects only
-/// announcements of the same incarnation. Which of the processes runs is known from the target's
-/// lists. Not thread-safe.
+/// from another program, with an incarnation or a sequence number that the target never had, so
+/// neither may hide later announcements of the target itself: an announcement affects only those of
+/// the same incarnation, and only until two later ones contradict its sequence number. Which of the
+/// processes runs is known from the target's lists. Not thread-safe.
 ///
 ///     target_announcements announcements;
 ///     if (announcements.receive(announcement, now)) use(*announcements.find(incarnation));
@@ -13,6 +14,7 @@
 #include "filbertroad/dispatch/target_announcement.hpp"
 
 #include <map>
+#include <optional>
 #include <string_view>
 
 namespace filbertroad::dispatch::internal
@@ -33,9 +35,14 @@
     {
         target_announcement newest;
         base::steady_time last_received{};
+        /// First announcement, and its arrival, of those that were ignored since `newest` because
+        /// of their sequence numbers or names.
+        std::optional<target_announcement> ignored;
+        base::steady_time ignored_at{};
     };
 
-    static bool update(process_record& process, target_announcement const& announcement);
+    static bool update(process_record& process, target_announcement const& announcement,
+                       base::steady_time now);
     void drop_surplus();
 
     std::map<std::uint64_t, process_record> processes;
