Do not report a run as over while its target lists another run of the task

Cause: an agent reported the run that was lost in the restart as over, and only then stopped the run that the new process listed for the same task, so that the entry started the task elsewhere beside it. If that run had the number of one that had ended a short time before, the agent took the list for an outdated one and did not stop it at all.

Fix: a run that the target does not list stays open while the target lists another run of its task, which is stopped.

Evidence: these tests failed before: dispatch.run_agent_test.run_lost_in_a_restart_is_not_over_while_the_target_runs_its_task, dispatch.run_agent_test.ended_run_that_a_restarted_target_starts_again_is_stopped.

--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -353,6 +353,8 @@
         });
     this->return_queued_runs("target restarted");
     this->has_unknown_runs = false;
+    // The new process has none of these runs unless it has executed a late order.
+    this->recently_ended_runs.clear();
     // Orders to the earlier process that are still in flight must not take effect on the new
     // process, which does not know the numbers of runs that ended.
     this->raise_fencing_token(this->fencing_token, fencing_step);
@@ -394,9 +396,11 @@
 void run_agent::reconcile_with_list(renewal const& sent, run_list const& list)
 {
     std::set<std::pair<std::string_view, std::uint32_t>> running;
+    std::set<std::string_view> running_tasks;
     for (auto const& listed : list.running)
     {
         running.emplace(listed.id.task, listed.id.run);
+        running_tasks.insert(listed.id.task);
     }
     std::vector<std::string> ended_tasks;
     this->runs.for_each(
@@ -421,6 +425,12 @@
                 }
                 return;
             }
+            // The target has executed an order of earlier that is not fenced yet. The task may not
+            // start elsewhere before that run has ended.
+            if (running_tasks.contains(run.order.id.task))
+            {
+                return;
+            }
             // Only a list that was requested after the answer proves that the run has ended.
             bool const start_is_old =
                 run.state == run_state::running && sent.made > run.start_answered;
--- a/filbertroad/dispatch/run_agent_test.cpp
+++ b/filbertroad/dispatch/run_agent_test.cpp
@@ -994,6 +994,44 @@
     EXPECT_FALSE(this->report("a")->target_lost);
 }
 
+// Guards against two runs of a task: a restarted target has executed a late order to its earlier
+// process, and the task starts elsewhere before that run has ended.
+TEST_F(run_agent_test, run_lost_in_a_restart_is_not_over_while_the_target_runs_its_task)
+{
+    this->connect("e");
+    this->order("e", "t", 3'000, 0, 2);
+    this->incarnation = 2;
+    this->on_target = {{"t", 1}};
+    this->answers_stops = false;
+    this->clock.advance(milliseconds(1));
+    this->announce();
+    this->renew();
+    EXPECT_EQ(this->report("t"), nullptr);
+    ASSERT_FALSE(this->stops.empty());
+    EXPECT_EQ(this->stops.back().id, (run_id{"t", 1}));
+    this->on_target.clear();
+    this->clock.advance(milliseconds(1));
+    this->renew();
+    ASSERT_NE(this->report("t"), nullptr);
+    EXPECT_EQ(this->report("t")->end, run_end::lost);
+}
+
+// Guards against the same when the late order is that of a run which has ended.
+TEST_F(run_agent_test, ended_run_that_a_restarted_target_starts_again_is_stopped)
+{
+    this->connect("e");
+    this->order("e", "t", 3'000);
+    this->finish("t");
+    this->renew();
+    this->incarnation = 2;
+    this->finished.clear();
+    this->on_target = {{"t", 1}};
+    this->clock.advance(milliseconds(1));
+    this->renew();
+    ASSERT_FALSE(this->stops.empty());
+    EXPECT_EQ(this->stops.back().id, (run_id{"t", 1}));
+}
+
 // Guards against evidence against the tasks of a target that left as announced.
 TEST_F(run_agent_test, run_on_a_target_that_leaves_is_not_reported_as_lost_with_the_target)
 {
