Keep the address of an entry after another writer has changed its record

Callers would see: an entry that takes no jobs after its agents have restarted. An entry writes its address to the store once. A record of another writer under its name hid it for good: the entry itself gave the odd address to agents and entries that asked it, and agents which start later found no other.

Found by reading; not seen in operation.

--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -150,7 +150,9 @@
     void add_entry(dispatch::entry_address const& entry) override
     {
         auto& known_link = this->entries[entry.name];
-        if (known_link == entry.link)
+        // Records of other writers may name another address for this entry.
+        bool const is_wrong = entry.name == this->identity.name && entry.link != this->address;
+        if (is_wrong || known_link == entry.link)
         {
             return;
         }
