--- a/filbertroad/dispatch/run_agent_target.cpp
+++ b/filbertroad/dispatch/run_agent_target.cpp
@@ -425,8 +425,8 @@
                 }
                 return;
             }
-            // The target has executed an order of earlier that is not fenced yet. The task may not
-            // start elsewhere before that run has ended.
+            // The target has executed a late order, whose run is stopped. The task may not start
+            // elsewhere before that run has ended.
             if (running_tasks.contains(run.order.id.task))
             {
                 return;
