--- a/filbertroad/dispatch/cluster_property_test.cpp
+++ b/filbertroad/dispatch/cluster_property_test.cpp
@@ -79,7 +79,8 @@
 TEST(cluster_property_test, invariants_hold_when_a_late_order_is_the_first_after_a_restart)
 {
     for (std::uint64_t const failed_seed :
-         {425U, 114U, 426U, 765U, 1058U, 211U, 322U, 452U, 537U, 651U})
+         {425U, 114U, 426U, 765U, 1058U, 211U, 322U, 452U, 537U, 651U, 140U, 788U, 1541U, 1591U,
+          1959U, 2929U, 3835U, 4041U, 4194U})
     {
         cluster_simulation cluster(failed_seed);
         cluster.restarted_target_accepts_late_orders = true;
