Ignore the address of an entry that cannot be sent or connected to

Callers saw: 503 "no target takes work" for every job, for as long as the record stood.

Cause: entries and agents took over every record of the topic of entries, whatever bytes it held, and passed it on in frames. Names and addresses in frames have to be UTF-8. A peer closes its link on a frame with other bytes, and an entry sends all known addresses with its hello, so that one record of another writer kept every agent from linking to the entries that had read it.

Fix: an address is used and passed on only if its name is UTF-8 and its link is IP:PORT; others are written to the event log. The check of UTF-8 moves from api to base.

Ports out of range alone broke nothing.

--- a/filbertroad/api/internal/api_error.cpp
+++ b/filbertroad/api/internal/api_error.cpp
@@ -1,6 +1,5 @@
 #include "filbertroad/api/internal/api_error.hpp"
-
-#include "filbertroad/api/internal/utf8.hpp"
+#include "filbertroad/base/utf8.hpp"
 
 #include <algorithm>
 #include <array>
@@ -118,8 +117,9 @@
 net::http_response to_response(api_error const& error)
 {
     boost::json::object body;
-    body["error"] = {
-        {"code", error.code}, {"detail", to_utf8(error.detail)}, {"field", to_utf8(error.field)}};
+    body["error"] = {{"code", error.code},
+                     {"detail", base::to_utf8(error.detail)},
+                     {"field", base::to_utf8(error.field)}};
     body["not_run"] = to_string(error.not_run);
     body["retry_after_ms"] = error.retry_after_ms;
     if (error.current_version)
--- a/filbertroad/api/internal/report_json.cpp
+++ b/filbertroad/api/internal/report_json.cpp
@@ -1,6 +1,5 @@
 #include "filbertroad/api/internal/report_json.hpp"
-
-#include "filbertroad/api/internal/utf8.hpp"
+#include "filbertroad/base/utf8.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/monotonic_resource.hpp>
@@ -72,7 +71,7 @@
     json::object out(memory);
     out["index"] = result.task().index();
     out["outcome"] = outcome_name(result.outcome());
-    if (is_utf8(result.body()))
+    if (base::is_utf8(result.body()))
     {
         out["body"] = result.body();
     }
--- a/filbertroad/api/internal/utf8.hpp
+++ b/filbertroad/base/utf8.hpp
@@ -1,14 +1,16 @@
-#ifndef FILBERTROAD_API_INTERNAL_UTF8_HPP
-#define FILBERTROAD_API_INTERNAL_UTF8_HPP
+#ifndef FILBERTROAD_BASE_UTF8_HPP
+#define FILBERTROAD_BASE_UTF8_HPP
 
-/// UTF-8 checks and repair. JSON must be UTF-8, but paths, queries and task results of targets may
-/// contain arbitrary bytes.
+/// UTF-8 checks and repair. JSON and link messages must be UTF-8, but paths, queries, task results
+/// of targets and records of other programs may contain arbitrary bytes.
+///
+///     if (!base::is_utf8(record.key)) reject(record);
 
 #include <boost/locale/utf.hpp>
 #include <string>
 #include <string_view>
 
-namespace filbertroad::api::internal
+namespace filbertroad::base
 {
 
 /// Calls `visit(bytes, true)` for each code point of `text` and `visit(byte, false)` for each byte
@@ -48,6 +50,6 @@
     return out;
 }
 
-} // namespace filbertroad::api::internal
+} // namespace filbertroad::base
 
 #endif
--- a/filbertroad/net/link.cpp
+++ b/filbertroad/net/link.cpp
@@ -11,6 +11,11 @@
 {
 namespace asio = boost::asio;
 
+bool is_address(std::string_view text)
+{
+    return internal::parse_address(text).has_value();
+}
+
 std::shared_ptr<link> link::connect(asio::io_context& io, std::string_view address,
                                     link_handlers handlers, std::shared_ptr<tls_context const> tls)
 {
--- a/filbertroad/net/link.hpp
+++ b/filbertroad/net/link.hpp
@@ -37,6 +37,9 @@
     bad_certificate,
 };
 
+/// Whether `text` is an IP:PORT or [IPv6]:PORT that link::connect() accepts.
+[[nodiscard]] bool is_address(std::string_view text);
+
 /// TLS keys and verification settings (tls.hpp).
 class tls_context;
 
--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -5,6 +5,7 @@
 #include "filbertroad/node/frame.hpp"
 #include "filbertroad/node/internal/entry_connections.hpp"
 #include "filbertroad/node/internal/renewal_loop.hpp"
+#include "filbertroad/node/internal/usable_address.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -77,7 +78,7 @@
 
     void add_entry(dispatch::entry_address const& entry) override
     {
-        if (!this->connections.add(entry))
+        if (!internal::is_usable(entry, this->log) || !this->connections.add(entry))
         {
             return;
         }
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -3,6 +3,7 @@
 #include "filbertroad/net/link.hpp"
 #include "filbertroad/node/frame.hpp"
 #include "filbertroad/node/internal/job_metrics.hpp"
+#include "filbertroad/node/internal/usable_address.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -149,6 +150,10 @@
 
     void add_entry(dispatch::entry_address const& entry) override
     {
+        if (!internal::is_usable(entry, this->log))
+        {
+            return;
+        }
         auto& known_link = this->entries[entry.name];
         // Records of other writers may name another address for this entry.
         bool const is_wrong = entry.name == this->identity.name && entry.link != this->address;
