Let a job's cost grow with its size, whatever the order of its steps

Callers saw: one job of 250 KB whose steps each wait for the one before kept an entry busy for most of a second, and an entry with 0.09 cores for longer than every lease.

Cause: each end of a task looked at every task of the job, for each predecessor of each step. Checks looked at all tasks every 25 ms, and searched a target for each task that waits; constrained tasks were counted anew for each placement; the load in flight to an agent was summed up for each task; an agent copied its queue for each order.

Change: a step counts its unfinished tasks and its predecessors that are not done. Indexes of waiting and running tasks replace the passes over all tasks, sums replace the passes over starts in flight, and a counter for each route the pass over all jobs. The dispatcher counts what it examines, so that the test needs no clock. At most 1,000 runs of an entry are open at one agent, whose reports cost a pass over its runs.

--- a/filbertroad/dispatch/internal/agent_view.cpp
+++ b/filbertroad/dispatch/internal/agent_view.cpp
@@ -36,6 +36,32 @@
     this->in_flight.clear();
     this->starts_sent = 0;
     this->last_status.accepting = false;
+    this->recompute_load();
+}
+
+void agent_view::load_sums::add(sent_start const& start)
+{
+    this->sent_cpu += start.resources.cpu;
+    if (this->free.can_fit(start.resources))
+    {
+        this->free -= start.resources;
+        this->running_work += start.work;
+    }
+    else
+    {
+        this->queued_work[start.priority] += start.work;
+    }
+}
+
+void agent_view::recompute_load()
+{
+    this->load = {};
+    this->load.free = this->last_status.free;
+    this->load.running_work = this->last_status.running_work;
+    for (auto const& start : this->in_flight)
+    {
+        this->load.add(start);
+    }
 }
 
 void agent_view::update_status(target_status const& next, base::steady_time now)
@@ -48,19 +74,25 @@
     auto const count = std::min<std::size_t>(received, this->in_flight.size());
     this->in_flight.erase(this->in_flight.begin(),
                           this->in_flight.begin() + static_cast<std::ptrdiff_t>(count));
+    this->recompute_load();
 }
 
 void agent_view::add_in_flight(model::resources const& resources, double work,
                                std::uint32_t priority)
 {
     this->in_flight.push_back({resources, work, priority});
+    this->load.add(this->in_flight.back());
     ++this->starts_sent;
+    ++this->open_run_count;
 }
 
-void agent_view::remove_last_in_flight()
+void agent_view::remove_last_in_flight(std::size_t count)
 {
-    this->in_flight.pop_back();
-    --this->starts_sent;
+    this->in_flight.erase(this->in_flight.end() - static_cast<std::ptrdiff_t>(count),
+                          this->in_flight.end());
+    this->starts_sent -= count;
+    this->open_run_count -= count;
+    this->recompute_load();
 }
 
 void agent_view::record_failure(base::steady_time now)
@@ -82,25 +114,17 @@
 milliseconds agent_view::expected_wait(model::resources const& resources,
                                        std::uint32_t priority) const
 {
-    auto free = this->last_status.free;
+    auto const& free = this->load.free;
+    auto const running = this->load.running_work;
     double work_ahead = 0;
     for (std::size_t priority_class = 0; priority_class < priority_classes; ++priority_class)
     {
         work_ahead +=
             priority_class <= priority ? this->last_status.queued_work[priority_class] : 0;
     }
-    double running = this->last_status.running_work;
-    for (auto const& start : this->in_flight)
+    for (auto const& [queued_priority, work] : this->load.queued_work)
     {
-        if (free.can_fit(start.resources))
-        {
-            free -= start.resources;
-            running += start.work;
-        }
-        else
-        {
-            work_ahead += start.priority <= priority ? start.work : 0;
-        }
+        work_ahead += queued_priority <= priority ? work : 0;
     }
     if (work_ahead <= 0 && free.can_fit(resources))
     {
@@ -135,11 +159,7 @@
 
 double agent_view::spare_starts(model::resources const& resources) const
 {
-    auto free = this->last_status.free.cpu;
-    for (auto const& start : this->in_flight)
-    {
-        free -= start.resources.cpu;
-    }
+    auto const free = this->last_status.free.cpu - this->load.sent_cpu;
     return std::max(1.0, static_cast<double>(free) /
                              static_cast<double>(std::max<std::int64_t>(resources.cpu, 1)));
 }
--- a/filbertroad/dispatch/internal/agent_view.hpp
+++ b/filbertroad/dispatch/internal/agent_view.hpp
@@ -12,7 +12,9 @@
 #include "filbertroad/base/clock.hpp"
 #include "filbertroad/dispatch/messages.hpp"
 
+#include <cstdint>
 #include <deque>
+#include <map>
 
 namespace filbertroad::dispatch::internal
 {
@@ -29,8 +31,13 @@
     /// Records a start that was sent and is not included in the last status. `work` is in
     /// core-milliseconds.
     void add_in_flight(model::resources const& resources, double work, std::uint32_t priority);
-    /// Reverts the last add_in_flight().
-    void remove_last_in_flight();
+    /// Reverts the last `count` calls of add_in_flight().
+    void remove_last_in_flight(std::size_t count);
+
+    /// The end of a start that was sent is known, or no longer of interest.
+    void remove_open_run() { --this->open_run_count; }
+    /// Starts that were sent and whose ends are not known.
+    [[nodiscard]] std::size_t open_runs() const { return this->open_run_count; }
 
     void record_success() { this->failures = 0; }
     /// Records a failure attributed to the target. Consecutive failures eject the target for a
@@ -62,13 +69,30 @@
         std::uint32_t priority = 0;
     };
 
+    /// Load of the last status and of the starts in flight. Kept up to date with each start, since
+    /// a job may send thousands of them between two statuses.
+    struct load_sums
+    {
+        model::resources free;
+        double running_work = 0;
+        /// Work that has to wait for free resources, by priority.
+        std::map<std::uint32_t, double> queued_work;
+        std::int64_t sent_cpu = 0;
+
+        void add(sent_start const& start);
+    };
+
+    void recompute_load();
+
     std::uint64_t agent_incarnation = 0;
     bool connected = false;
     base::steady_time last_contact_time{};
     target_status last_status;
     /// Starts sent on this link that the last status does not include.
     std::deque<sent_start> in_flight;
+    load_sums load;
     std::uint64_t starts_sent = 0;
+    std::size_t open_run_count = 0;
     std::uint32_t failures = 0;
     base::steady_time ejected_until{};
 };
--- a/filbertroad/dispatch/internal/dispatch_job.hpp
+++ b/filbertroad/dispatch/internal/dispatch_job.hpp
@@ -3,8 +3,11 @@
 
 /// Jobs and tasks of a job dispatcher; internal to its source files.
 ///
-///     for (auto& item : parent_job.tasks) if (item.state == task_state::waiting) ...
+///     added.create_tasks();
+///     added.change(added.tasks[0], task_state::sent);
+///     if (added.sent.empty()) ...
 
+#include "filbertroad/dispatch/internal/task_index_list.hpp"
 #include "filbertroad/dispatch/job_dispatcher.hpp"
 
 #include <map>
@@ -68,8 +71,8 @@
 struct job_dispatcher::target_filter
 {
     placement_constraints const& constraints;
-    /// Number of tasks of the step by agent; only filled if the step limits it.
-    std::map<std::string_view, std::uint32_t> occupied;
+    /// Number of tasks of the step by agent; null unless the step limits it.
+    std::map<std::string, std::uint32_t, std::less<>> const* occupied = nullptr;
     /// Permits only targets on `rack`, or only others.
     enum class rack_rule
     {
@@ -101,8 +104,54 @@
     {
         return needs_queue ? this->expires_at : this->deadline;
     }
+    /// Progress of a step. Kept up to date with each change of a task, so that a change does not
+    /// cost a pass over the tasks of the job.
+    struct step_progress
+    {
+        /// Index of the step's first task; the others follow it.
+        std::uint32_t first_task = 0;
+        /// Tasks that have not succeeded.
+        std::uint32_t unfinished = 0;
+        /// Tasks that are sent or have succeeded.
+        std::uint32_t placed = 0;
+        /// Elements of `after` that name a step with unfinished tasks.
+        std::uint32_t blocking = 0;
+        /// Position of the steps that wait for this one in `successors`.
+        std::uint32_t first_successor = 0;
+        std::uint32_t successor_count = 0;
+        /// Tasks by agent that are planned there or whose run there may not have ended. Only kept
+        /// if the step limits them.
+        std::map<std::string, std::uint32_t, std::less<>> occupied;
+    };
+
+    /// Creates the tasks of all steps; those of steps without predecessors are waiting.
+    void create_tasks();
+    /// Changes the state of a task. When it is the last of its step to succeed, the tasks of steps
+    /// that wait for no other step become waiting too.
+    void change(task& item, task_state next);
+    void unblock_successors(step_progress const& completed);
+    /// Counts a task on the agent that is planned for it or to which it is sent.
+    void occupy(task const& item, std::string const& agent);
+    /// Index after the last task of the step of `item`.
+    [[nodiscard]] std::uint32_t end_of_step(task const& item) const
+    {
+        return this->steps[item.step].first_task + this->request.steps[item.step].count;
+    }
+    [[nodiscard]] bool limits_targets(task const& item) const
+    {
+        auto const& constraints = this->request.steps[item.step].constraints;
+        return constraints && constraints->max_per_target != 0;
+    }
+
+    /// Tasks of a step are adjacent.
     std::vector<task> tasks;
+    std::vector<step_progress> steps;
+    std::vector<std::uint32_t> successors;
+    internal::task_index_list waiting;
+    internal::task_index_list sent;
     std::size_t unfinished = 0;
+    /// Counts towards the waiting jobs of its route: no start of it has been sent.
+    bool is_counted_as_waiting = false;
     /// Rack of each step that is to run on one; empty if the step is spread.
     std::map<std::size_t, std::string> racks;
     /// Part of the estimate of the bytes that all jobs hold.
--- a/filbertroad/dispatch/internal/job_footprint.hpp
+++ b/filbertroad/dispatch/internal/job_footprint.hpp
@@ -18,6 +18,9 @@
 /// Bytes of a job without its tasks, with its connection and the handler of its answer.
 inline constexpr std::size_t job_bytes = 2'048;
 
+/// Bytes of the progress of a step.
+inline constexpr std::size_t step_bytes = 96;
+
 [[nodiscard]] inline std::size_t task_count(job_request const& request)
 {
     std::size_t tasks = 0;
@@ -35,7 +38,8 @@
                  task_count(request) * (task_bytes + request.payload.size());
     for (auto const& step : request.steps)
     {
-        bytes += sizeof(step) + step.after.size() * sizeof(step.after.front());
+        // Predecessors are held in both directions.
+        bytes += sizeof(step) + step_bytes + 2 * step.after.size() * sizeof(step.after.front());
     }
     return bytes;
 }
--- a/filbertroad/dispatch/internal/run_table.hpp
+++ b/filbertroad/dispatch/internal/run_table.hpp
@@ -82,6 +82,12 @@
     [[nodiscard]] model::resources allocated() const { return this->allocated_resources; }
     /// Queued tasks in the order in which they start: by priority, then by arrival.
     [[nodiscard]] std::vector<std::string> queued() const;
+    /// The first of them; null if there is none. Unlike queued(), this copies nothing.
+    [[nodiscard]] agent_run* first_queued();
+    /// The queued run after `run`, which is queued too; null if it is the last.
+    [[nodiscard]] agent_run* queued_after(agent_run const& run);
+    /// Runs of the step of `order` that are not queued. Counted only for steps with a limit.
+    [[nodiscard]] std::uint32_t present_of_step(start_order const& order) const;
     [[nodiscard]] bool has_queued() const { return !this->queue.empty(); }
 
     template <class Use>
@@ -115,10 +121,15 @@
     };
 
     static position position_of(agent_run const& run);
+    /// Adds the run to what is allocated, or removes it.
+    void allocate(agent_run const& run);
+    void release(agent_run const& run);
 
     std::map<std::string, agent_run, std::less<>> runs;
     std::set<position> queue;
     model::resources allocated_resources;
+    /// By the name that the tasks of a step have in common.
+    std::map<std::string, std::uint32_t, std::less<>> present_by_step;
     std::uint64_t last_arrival_number = 0;
 };
 
--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -99,29 +99,22 @@
         added.request.target_latency;
     added.expires_at = std::min(
         added.deadline, now + internal::scaled(added.objective, this->limits.expiry_factor));
-    auto const& steps = added.request.steps;
     auto const is_full = this->is_full(added.request);
     added.bytes = is_full ? 0 : internal::job_footprint(added.request);
     this->job_bytes += added.bytes;
-    for (std::size_t step = 0; !is_full && step < steps.size(); ++step)
+    if (!is_full)
     {
-        for (std::uint32_t index = 0; index < steps[step].count; ++index)
-        {
-            task item;
-            item.name =
-                added.request.key + ".0." + std::to_string(step) + "." + std::to_string(index);
-            item.step = step;
-            item.estimate = steps[step].estimate;
-            added.tasks.push_back(std::move(item));
-        }
+        added.create_tasks();
     }
-    added.unfinished = added.tasks.size();
+    this->visits.tasks += added.tasks.size();
     for (std::size_t index = 0; index < added.tasks.size(); ++index)
     {
         this->tasks[added.tasks[index].name] = {&added, index};
     }
     this->record_work(added.request);
     this->jobs.emplace(added.request.key, std::move(owned));
+    added.is_counted_as_waiting = true;
+    ++this->waiting_job_counts[added.request.route];
     if (is_full)
     {
         this->finish(added, job_outcome::not_run, "too many jobs");
@@ -136,7 +129,6 @@
     }
     else
     {
-        this->unblock_tasks(added);
         this->admit(added);
     }
     this->remove_if_ended(added);
@@ -181,6 +173,23 @@
     return this->jobs.contains(key);
 }
 
+template <class Use>
+void job_dispatcher::for_each_sent_to(std::string_view agent, Use use)
+{
+    for (auto const& [key, parent_job] : this->jobs)
+    {
+        auto const& sent = parent_job->sent;
+        for (auto next = sent.first_from(0); next; next = sent.first_from(*next + 1))
+        {
+            ++this->visits.tasks;
+            if (auto const& item = parent_job->tasks[*next]; item.agent == agent)
+            {
+                use(item);
+            }
+        }
+    }
+}
+
 void job_dispatcher::agent_connected(process_id const& agent)
 {
     auto& view = this->agents[agent.name];
@@ -196,16 +205,8 @@
         this->mark_agent_runs_lost(agent.name, "agent restarted");
     }
     send_resume resume{agent.name, {}};
-    for (auto const& [key, parent_job] : this->jobs)
-    {
-        for (auto const& item : parent_job->tasks)
-        {
-            if (item.state == task_state::sent && item.agent == agent.name)
-            {
-                resume.orders.push_back(item.order);
-            }
-        }
-    }
+    this->for_each_sent_to(agent.name,
+                           [&](task const& item) { resume.orders.push_back(item.order); });
     this->actions.emplace_back(std::move(resume));
 }
 
@@ -276,8 +277,10 @@
                                     run_report const& report)
 {
     auto& view = this->agents.find(agent)->second;
+    view.remove_open_run();
     this->learn_run_time(parent_job, item, report);
-    item.state = task_state::waiting;
+    parent_job.change(item, report.end == run_end::succeeded ? task_state::succeeded
+                                                             : task_state::waiting);
     if (report.end != run_end::not_started)
     {
         parent_job.may_have_run = true;
@@ -285,10 +288,7 @@
     switch (report.end)
     {
     case run_end::succeeded:
-        item.state = task_state::succeeded;
-        --parent_job.unfinished;
         view.record_success();
-        this->unblock_tasks(parent_job);
         if (parent_job.unfinished == 0)
         {
             this->finish(parent_job, job_outcome::completed, "");
@@ -358,18 +358,13 @@
 void job_dispatcher::mark_agent_runs_lost(std::string_view agent, std::string_view reason)
 {
     std::vector<run_report> reports;
-    for (auto const& [key, parent_job] : this->jobs)
-    {
-        for (auto const& item : parent_job->tasks)
-        {
-            if (item.state == task_state::sent && item.agent == agent)
-            {
-                reports.push_back({.id = {item.name, item.run},
-                                   .end = run_end::lost,
-                                   .reason = std::string(reason)});
-            }
-        }
-    }
+    this->for_each_sent_to(agent,
+                           [&](task const& item)
+                           {
+                               reports.push_back({.id = {item.name, item.run},
+                                                  .end = run_end::lost,
+                                                  .reason = std::string(reason)});
+                           });
     for (auto const& report : reports)
     {
         auto const found = this->tasks.find(report.id.task);
@@ -384,9 +379,7 @@
 
 bool job_dispatcher::is_not_run(job const& parent_job)
 {
-    return !parent_job.may_have_run &&
-           std::none_of(parent_job.tasks.begin(), parent_job.tasks.end(),
-                        [](task const& item) { return item.state == task_state::sent; });
+    return !parent_job.may_have_run && parent_job.sent.empty();
 }
 
 void job_dispatcher::give_up(job& parent_job, std::string_view reason)
@@ -421,8 +414,13 @@
         return;
     }
     this->learn_from_stopped_runs(parent_job);
+    this->stop_counting_as_waiting(parent_job);
     for (auto const& item : parent_job.tasks)
     {
+        if (item.state == task_state::sent)
+        {
+            this->agents.find(item.agent)->second.remove_open_run();
+        }
         if (item.state == task_state::sent && !item.is_cancel_sent)
         {
             this->actions.emplace_back(send_cancel{.agent = item.agent, .id = item.order.id});
@@ -440,11 +438,21 @@
 
 std::size_t job_dispatcher::waiting_jobs(std::string_view route) const
 {
-    return static_cast<std::size_t>(std::count_if(this->jobs.begin(), this->jobs.end(),
-                                                  [&](auto const& item) {
-                                                      return item.second->request.route == route &&
-                                                             item.second->runs == 0;
-                                                  }));
+    auto const found = this->waiting_job_counts.find(route);
+    return found == this->waiting_job_counts.end() ? 0 : found->second;
+}
+
+void job_dispatcher::stop_counting_as_waiting(job& parent_job)
+{
+    if (!std::exchange(parent_job.is_counted_as_waiting, false))
+    {
+        return;
+    }
+    auto const found = this->waiting_job_counts.find(parent_job.request.route);
+    if (--found->second == 0)
+    {
+        this->waiting_job_counts.erase(found);
+    }
 }
 
 std::size_t job_dispatcher::accepting_agents() const
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -82,6 +82,9 @@
     /// internal::job_footprint(). A job beyond them is refused, unless it is the only one.
     std::size_t max_tasks = 200'000;
     std::size_t max_job_bytes = 1024UL * 1024 * 1024;
+    /// Starts sent to one agent whose ends are not known. An agent with so many gets no further
+    /// ones from this entry: each of its reports costs a pass over its runs.
+    std::size_t max_runs_per_target = 1'000;
     /// A run counts as stalled after this multiple of its expected time plus `stall_slack`.
     double stall_factor = 2.5;
     milliseconds stall_slack{150};
@@ -232,6 +235,15 @@
     std::uint32_t runs = 0;
 };
 
+/// Elements that the dispatcher has examined since its start. They show how its processor time
+/// grows with the size of a job, independently of the machine.
+struct dispatch_visits
+{
+    std::uint64_t tasks = 0;
+    /// Agents that were considered for a task.
+    std::uint64_t targets = 0;
+};
+
 using dispatch_action =
     std::variant<send_start, send_cancel, send_acknowledgement, send_resume, answer_job>;
 
@@ -275,6 +287,7 @@
     [[nodiscard]] std::size_t waiting_jobs(std::string_view route) const;
     /// Number of agents to which starts can be sent now.
     [[nodiscard]] std::size_t accepting_agents() const;
+    [[nodiscard]] dispatch_visits const& visited() const { return this->visits; }
     /// Decisions on the admission of jobs since the start.
     [[nodiscard]] admission_counts const& admissions() const { return this->admission_record; }
 
@@ -334,9 +347,6 @@
     [[nodiscard]] std::optional<placement>
     choose_constrained(job const& parent_job, task const& item, std::string const& avoided) const;
     [[nodiscard]] static bool is_constrained(job const& parent_job, task const& item);
-    /// Tasks of the step, by agent, that are planned there or whose run there may not have ended.
-    [[nodiscard]] static std::map<std::string_view, std::uint32_t>
-    occupied_agents(job const& parent_job, std::size_t step);
     /// choose_constrained() for a task with a near rack: a near place at once, a wait for one, or a
     /// far place.
     [[nodiscard]] std::optional<placement> choose_near_or_far(job const& parent_job,
@@ -387,7 +397,6 @@
     /// Whether a task of the job exceeds the capacity of every known target, so that the job cannot
     /// complete.
     [[nodiscard]] bool exceeds_every_target(job const& parent_job) const;
-    void unblock_tasks(job& parent_job);
     void place_waiting_tasks(job& parent_job);
     /// Adds the task to the in-flight load of the chosen agent.
     void reserve(job const& parent_job, task const& item, placement const& chosen);
@@ -433,6 +442,10 @@
     /// the same point.
     static void raise_estimate(task& item, milliseconds work);
     void mark_agent_runs_lost(std::string_view agent, std::string_view reason);
+    template <class Use>
+    void for_each_sent_to(std::string_view agent, Use use);
+    /// Removes the job from the number of waiting jobs of its route, if it counts there.
+    void stop_counting_as_waiting(job& parent_job);
 
     base::clock const& clock;
     dispatch_limits limits;
@@ -446,6 +459,9 @@
     /// Estimate of the bytes that the jobs hold.
     std::size_t job_bytes = 0;
     std::vector<dispatch_action> actions;
+    mutable dispatch_visits visits;
+    /// By route.
+    std::map<std::string, std::size_t, std::less<>> waiting_job_counts;
     std::size_t entry_count = 1;
     internal::overload_detector overload;
     admission_counts admission_record;
--- a/filbertroad/dispatch/job_dispatcher_checks.cpp
+++ b/filbertroad/dispatch/job_dispatcher_checks.cpp
@@ -15,38 +15,26 @@
         this->pause_ended_at = now;
     }
     this->last_tick = now;
-    std::vector<std::string> keys;
-    keys.reserve(this->jobs.size());
-    for (auto const& [key, parent_job] : this->jobs)
+    for (auto next = this->jobs.begin(); next != this->jobs.end();)
     {
-        keys.push_back(key);
-    }
-    for (auto const& key : keys)
-    {
-        if (auto const found = this->jobs.find(key); found != this->jobs.end())
-        {
-            this->check_job(*found->second);
-            this->remove_if_ended(*found->second);
-        }
+        // A check ends no other job.
+        auto& parent_job = *(next++)->second;
+        this->check_job(parent_job);
+        this->remove_if_ended(parent_job);
     }
 }
 
 void job_dispatcher::check_job(job& parent_job)
 {
-    for (auto& item : parent_job.tasks)
+    auto const& sent = parent_job.sent;
+    for (auto next = sent.first_from(0); next; next = sent.first_from(*next + 1))
     {
+        ++this->visits.tasks;
+        this->check_task(parent_job, parent_job.tasks[*next]);
         if (parent_job.is_ended)
         {
             return;
         }
-        if (item.state == task_state::sent)
-        {
-            this->check_task(parent_job, item);
-        }
-    }
-    if (parent_job.is_ended)
-    {
-        return;
     }
     auto const now = this->clock.steady_now();
     if (now >= parent_job.deadline)
@@ -59,15 +47,16 @@
     {
         return;
     }
-    bool const is_unplaced =
-        std::any_of(parent_job.tasks.begin(), parent_job.tasks.end(),
-                    [](task const& item) { return item.state == task_state::waiting; });
+    if (parent_job.waiting.empty())
+    {
+        return;
+    }
     auto const placement_timeout =
         internal::scaled(parent_job.objective, this->limits.placement_timeout_factor);
     // The targets that suspects may use take work again only after their restart, which takes
     // longer than the objective.
     bool const is_hopeless = is_not_run(parent_job) || this->is_isolated(parent_job);
-    if (is_unplaced && is_hopeless && now - parent_job.arrived > placement_timeout)
+    if (is_hopeless && now - parent_job.arrived > placement_timeout)
     {
         this->give_up(parent_job, "no target takes work");
     }
--- a/filbertroad/dispatch/job_dispatcher_constraints.cpp
+++ b/filbertroad/dispatch/job_dispatcher_constraints.cpp
@@ -19,8 +19,12 @@
     {
         return false;
     }
-    auto const found = this->occupied.find(agent);
-    return found == this->occupied.end() || found->second < this->constraints.max_per_target;
+    if (this->occupied == nullptr)
+    {
+        return true;
+    }
+    auto const found = this->occupied->find(agent);
+    return found == this->occupied->end() || found->second < this->constraints.max_per_target;
 }
 
 bool job_dispatcher::is_constrained(job const& parent_job, task const& item)
@@ -28,38 +32,15 @@
     return parent_job.request.steps[item.step].constraints.has_value();
 }
 
-std::map<std::string_view, std::uint32_t> job_dispatcher::occupied_agents(job const& parent_job,
-                                                                          std::size_t step)
-{
-    std::map<std::string_view, std::uint32_t> occupied;
-    for (auto const& item : parent_job.tasks)
-    {
-        if (item.step != step)
-        {
-            continue;
-        }
-        // A run whose end is not proved may still be on its target.
-        if (item.state == task_state::sent)
-        {
-            ++occupied[item.agent];
-        }
-        else if (item.state == task_state::waiting && !item.planned_agent.empty())
-        {
-            ++occupied[item.planned_agent];
-        }
-    }
-    return occupied;
-}
-
 std::optional<job_dispatcher::placement>
 job_dispatcher::choose_constrained(job const& parent_job, task const& item,
                                    std::string const& avoided) const
 {
     auto const& constraints = *parent_job.request.steps[item.step].constraints;
-    target_filter filter{constraints, {}};
+    target_filter filter{constraints};
     if (constraints.max_per_target != 0)
     {
-        filter.occupied = occupied_agents(parent_job, item.step);
+        filter.occupied = &parent_job.steps[item.step].occupied;
     }
     if (constraints.same_rack)
     {
--- a/filbertroad/dispatch/job_dispatcher_groups.cpp
+++ b/filbertroad/dispatch/job_dispatcher_groups.cpp
@@ -59,25 +59,18 @@
 
 void job_dispatcher::place_groups(job& parent_job) const
 {
-    auto const& steps = parent_job.request.steps;
-    for (std::size_t index = 0; index < steps.size(); ++index)
+    auto const& waiting = parent_job.waiting;
+    for (auto next = waiting.first_from(0); next;)
     {
-        if (!steps[index].constraints || !steps[index].constraints->same_rack)
+        ++this->visits.tasks;
+        auto const& item = parent_job.tasks[*next];
+        auto const& step = parent_job.request.steps[item.step];
+        bool const is_group = step.constraints && step.constraints->same_rack;
+        if (is_group && parent_job.steps[item.step].placed == 0)
         {
-            continue;
-        }
-        bool is_waiting = false;
-        bool is_placed = false;
-        for (auto const& item : parent_job.tasks)
-        {
-            is_waiting = is_waiting || (item.step == index && item.state == task_state::waiting);
-            is_placed = is_placed || (item.step == index && (item.state == task_state::sent ||
-                                                             item.state == task_state::succeeded));
-        }
-        if (is_waiting && !is_placed)
-        {
-            parent_job.racks[index] = this->choose_rack(parent_job, steps[index]);
+            parent_job.racks[item.step] = this->choose_rack(parent_job, step);
         }
+        next = waiting.first_from(parent_job.end_of_step(item));
     }
 }
 
@@ -86,6 +79,7 @@
     auto const now = this->clock.steady_now();
     offers_by_rack racks;
     std::vector<internal::target_offer> spread;
+    this->visits.targets += this->agents.size();
     for (auto const& [name, view] : this->agents)
     {
         auto const& status = view.status();
--- a/filbertroad/dispatch/job_dispatcher_placement.cpp
+++ b/filbertroad/dispatch/job_dispatcher_placement.cpp
@@ -135,10 +135,12 @@
     bool const is_suspect = this->is_isolated(parent_job);
     std::vector<placement> candidates;
     std::optional<placement> last_resort;
+    this->visits.targets += this->agents.size();
     for (auto const& [name, view] : this->agents)
     {
         if (!view.accepts_starts(now) || view.status().service != parent_job.request.service ||
             !view.status().capacity.can_fit(step.resources) ||
+            view.open_runs() >= this->limits.max_runs_per_target ||
             (is_suspect && !isolated.contains(name)) ||
             (filter != nullptr && !filter->permits(name, view.status().labels)))
         {
@@ -228,24 +230,6 @@
                        });
 }
 
-void job_dispatcher::unblock_tasks(job& parent_job)
-{
-    auto const is_done = [&](std::uint32_t step)
-    {
-        return std::none_of(parent_job.tasks.begin(), parent_job.tasks.end(),
-                            [&](task const& item)
-                            { return item.step == step && item.state != task_state::succeeded; });
-    };
-    for (auto& item : parent_job.tasks)
-    {
-        auto const& after = parent_job.request.steps[item.step].after;
-        if (item.state == task_state::blocked && std::all_of(after.begin(), after.end(), is_done))
-        {
-            item.state = task_state::waiting;
-        }
-    }
-}
-
 bool job_dispatcher::is_too_late(job const& parent_job, placement const& chosen,
                                  base::steady_time now) const
 {
@@ -256,23 +240,19 @@
 bool job_dispatcher::give_up_if_too_late(job& parent_job)
 {
     auto const now = this->clock.steady_now();
-    std::optional<std::size_t> unplaceable_step;
-    for (auto const& item : parent_job.tasks)
+    auto const& waiting = parent_job.waiting;
+    for (auto next = waiting.first_from(0); next;)
     {
-        if (item.state != task_state::waiting || item.step == unplaceable_step)
-        {
-            continue;
-        }
+        ++this->visits.tasks;
+        auto const& item = parent_job.tasks[*next];
         auto const chosen = this->choose_placement(parent_job, item, item.avoided);
-        if (!chosen && is_constrained(parent_job, item))
-        {
-            unplaceable_step = item.step;
-        }
         if (chosen && this->is_too_late(parent_job, *chosen, now))
         {
             this->give_up(parent_job, "cannot end in time");
             return true;
         }
+        // Where one task of a step has no target, the others have none either.
+        next = waiting.first_from(chosen ? *next + 1 : parent_job.end_of_step(item));
     }
     return false;
 }
@@ -284,13 +264,11 @@
     bool is_blocked = false;
     std::vector<std::pair<task*, placement>> plan;
     this->place_groups(parent_job);
-    std::optional<std::size_t> unplaceable_step;
-    for (auto& item : parent_job.tasks)
+    auto const& waiting = parent_job.waiting;
+    for (auto next = waiting.first_from(0); next;)
     {
-        if (item.state != task_state::waiting || item.step == unplaceable_step)
-        {
-            continue;
-        }
+        ++this->visits.tasks;
+        auto& item = parent_job.tasks[*next];
         auto const chosen = this->choose_placement(parent_job, item, item.avoided);
         if (!chosen)
         {
@@ -299,14 +277,16 @@
             if (!is_blocked && is_constrained(parent_job, item))
             {
                 // The tasks of other steps may have room.
-                unplaceable_step = item.step;
+                next = waiting.first_from(parent_job.end_of_step(item));
                 continue;
             }
             break;
         }
+        next = waiting.first_from(*next + 1);
         if (is_constrained(parent_job, item))
         {
             item.planned_agent = *chosen->agent;
+            parent_job.occupy(item, item.planned_agent);
         }
         this->reserve(parent_job, item, *chosen);
         plan.emplace_back(&item, *chosen);
@@ -321,9 +301,14 @@
     this->record_admission(parent_job, result);
     if (result != admission_result::admitted)
     {
-        for (auto planned = plan.rbegin(); planned != plan.rend(); ++planned)
+        std::map<std::string_view, std::size_t> planned;
+        for (auto const& [item, chosen] : plan)
+        {
+            ++planned[*chosen.agent];
+        }
+        for (auto const& [agent, count] : planned)
         {
-            this->agents.find(*planned->second.agent)->second.remove_last_in_flight();
+            this->agents.find(agent)->second.remove_last_in_flight(count);
         }
         this->finish(parent_job, job_outcome::not_run,
                      is_blocked ? "no target takes work" : "overload");
@@ -338,13 +323,11 @@
 void job_dispatcher::place_waiting_tasks(job& parent_job)
 {
     this->place_groups(parent_job);
-    std::optional<std::size_t> unplaceable_step;
-    for (auto& item : parent_job.tasks)
+    auto const& waiting = parent_job.waiting;
+    for (auto next = waiting.first_from(0); next;)
     {
-        if (item.state != task_state::waiting || item.step == unplaceable_step)
-        {
-            continue;
-        }
+        ++this->visits.tasks;
+        auto& item = parent_job.tasks[*next];
         auto const chosen = this->choose_placement(parent_job, item, item.avoided);
         if (!chosen)
         {
@@ -352,9 +335,10 @@
             {
                 return;
             }
-            unplaceable_step = item.step;
+            next = waiting.first_from(parent_job.end_of_step(item));
             continue;
         }
+        next = waiting.first_from(*next + 1);
         if (this->is_too_late(parent_job, *chosen, this->clock.steady_now()))
         {
             this->give_up(parent_job, "cannot end in time");
@@ -378,8 +362,13 @@
 {
     auto const now = this->clock.steady_now();
     auto const& step = parent_job.request.steps[item.step];
-    item.state = task_state::sent;
     item.agent = *chosen.agent;
+    if (item.planned_agent.empty())
+    {
+        parent_job.occupy(item, item.agent);
+    }
+    parent_job.change(item, task_state::sent);
+    this->stop_counting_as_waiting(parent_job);
     item.sent = now;
     item.expected = chosen.wait + chosen.run + this->limits.round_trip_time;
     item.expected_run = chosen.run;
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -42,12 +42,6 @@
     return std::max(internal::elapsed(run.started, end), milliseconds(1));
 }
 
-/// Name that the tasks of a step have in common: that of the task without its last part.
-std::string_view step_of(std::string_view task)
-{
-    return task.substr(0, task.rfind('.'));
-}
-
 std::size_t class_of(std::uint32_t priority)
 {
     return std::min<std::size_t>(priority, priority_classes - 1);
@@ -359,13 +353,15 @@
     {
         return;
     }
-    for (auto const& task : this->runs.queued())
+    // Only the run of each turn is changed, so that the next one stays queued.
+    for (auto* next = this->runs.first_queued(); next != nullptr;)
     {
-        auto& run = *this->runs.find(task);
+        auto& run = *next;
+        next = this->runs.queued_after(run);
         // The capacity may have shrunk since the run was sent here. It can still run elsewhere.
         if (!this->target->capacity.can_fit(run.order.resources))
         {
-            this->end_run(task, run_end::not_started, "exceeds the capacity");
+            this->end_run(run.order.id.task, run_end::not_started, "exceeds the capacity");
             continue;
         }
         // The target may be another kind of machine since.
@@ -374,7 +370,7 @@
             [&](std::string const& label) { return this->target->labels.contains(label); });
         if (!has_labels)
         {
-            this->end_run(task, run_end::not_started, "target lacks a required label");
+            this->end_run(run.order.id.task, run_end::not_started, "target lacks a required label");
             continue;
         }
         if (this->is_step_limit_reached(run.order))
@@ -399,19 +395,7 @@
 
 bool run_agent::is_step_limit_reached(start_order const& order) const
 {
-    if (order.max_per_target == 0)
-    {
-        return false;
-    }
-    auto const step = step_of(order.id.task);
-    std::uint32_t present = 0;
-    this->runs.for_each(
-        [&](agent_run const& run)
-        {
-            bool const is_on_target = run.state != run_state::queued;
-            present += is_on_target && step_of(run.order.id.task) == step ? 1 : 0;
-        });
-    return present >= order.max_per_target;
+    return order.max_per_target != 0 && this->runs.present_of_step(order) >= order.max_per_target;
 }
 
 void run_agent::start(agent_run& run)
--- a/filbertroad/dispatch/run_agent_expiry.cpp
+++ b/filbertroad/dispatch/run_agent_expiry.cpp
@@ -85,12 +85,13 @@
 void run_agent::expire_queued()
 {
     auto const now = this->clock.steady_now();
-    for (auto const& task : this->runs.queued())
+    for (auto* next = this->runs.first_queued(); next != nullptr;)
     {
-        auto const& run = *this->runs.find(task);
+        auto const& run = *next;
+        next = this->runs.queued_after(run);
         if (now - run.arrived > run.order.queue_timeout)
         {
-            this->end_run(task, run_end::not_started, "no room in time");
+            this->end_run(run.order.id.task, run_end::not_started, "no room in time");
         }
     }
 }
