Bound the tasks and steps of one job

Cause: a job of a hundred bytes could name 10,000 tasks, each of which is placed among all targets when the job arrives, and 250 KB could name thousands of steps, each of which is searched a target in every check while it waits.

Change: limits.max_job_tasks (2,000) and limits.max_job_steps (1,000); a job beyond them is rejected as malformed, as before at 10,000 tasks. Jobs of the planned size have up to 270 tasks.

--- a/filbertroad/settings/internal/schema.hpp
+++ b/filbertroad/settings/internal/schema.hpp
@@ -281,6 +281,22 @@
         .unit = "tasks",
         .bounds = {1, 100'000'000},
         .description = "Maximum number of tasks of the jobs held; a job beyond it is rejected."},
+    row<dispatch_entry_settings>{
+        .key = "limits.max_job_tasks",
+        .kind = value_kind::number,
+        .member = &dispatch_entry_settings::max_job_tasks,
+        .unit = "tasks",
+        .bounds = {1, 10'000},
+        .description = "Maximum number of tasks of one job; a job with more is rejected as "
+                       "malformed."},
+    row<dispatch_entry_settings>{
+        .key = "limits.max_job_steps",
+        .kind = value_kind::number,
+        .member = &dispatch_entry_settings::max_job_steps,
+        .unit = "steps",
+        .bounds = {1, 10'000},
+        .description = "Maximum number of steps of one job; a job with more is rejected as "
+                       "malformed."},
     row<dispatch_entry_settings>{
         .key = "limits.max_links",
         .kind = value_kind::number,
--- a/filbertroad/settings/settings.hpp
+++ b/filbertroad/settings/settings.hpp
@@ -96,6 +96,9 @@
     /// with constraints on their targets are refused.
     double far_factor = 0;
     std::uint64_t max_tasks = 200'000;
+    /// Most tasks and steps of one job.
+    std::uint64_t max_job_tasks = 2'000;
+    std::uint64_t max_job_steps = 1'000;
     /// Links that are accepted from agents and other entries.
     std::uint64_t max_links = 320;
     /// Memory of the machine in MB.
