Leave connections to callers of short jobs

Callers saw: beside 80 clients that each hold one of 64 connections with an accepted job of 50 s, ordinary jobs were answered 503 (OrdinaryJobs.test_callers_that_hold_their_connection_with_long_jobs: 503 on, 200 now).

Cause: a connection whose request is handled is never closed for another one, rightly, and nothing bounded how many of them wait for long jobs.

A job beyond that is answered 503 "not run" before it is considered. A further submission of an open job is answered 504: its job may run.

--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -134,6 +134,14 @@
     this->remove_if_ended(added);
 }
 
+void job_dispatcher::refuse(job_request const& request, std::string_view reason)
+{
+    this->actions.emplace_back(answer_job{.key = request.key,
+                                          .outcome = job_outcome::not_run,
+                                          .reason = std::string(reason),
+                                          .retry_after = this->limits.retry_after});
+}
+
 bool job_dispatcher::is_full(job_request const& request) const
 {
     if (this->jobs.size() >= this->limits.max_jobs)
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -258,6 +258,9 @@
     /// Submits a job. A job whose key is already present is ignored: the answer of the present job
     /// serves both. The answer is an action; a refused job is answered immediately.
     void submit(job_request request);
+    /// Answers a job as not run without considering it. Precondition: no job of this key is
+    /// present.
+    void refuse(job_request const& request, std::string_view reason);
     /// Stops the job's runs because its caller disconnected or cancelled it. Returns whether the
     /// job was present.
     bool cancel(std::string_view key);
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -38,6 +38,9 @@
 /// Time between two hellos to the seeds, sent until one of them has responded.
 constexpr milliseconds hello_interval{1'000};
 
+/// Reason of an answer to a caller with a long time budget.
+constexpr std::string_view too_many_callers = "too many callers wait for long jobs";
+
 struct agent_link
 {
     std::shared_ptr<net::link> link;
@@ -61,11 +64,12 @@
     entry_node_impl(asio::io_context& io, base::clock const& clock, telemetry::event_log& log,
                     telemetry::metrics_registry& metrics, std::string name, std::string address,
                     std::vector<std::string> seeds, dispatch::dispatch_limits limits,
-                    net::link_limits link_limits)
+                    std::vector<dispatch::caller_bound> caller_bounds, net::link_limits link_limits)
         : io(io), clock(clock), log(log), address(std::move(address)),
           link_limits(std::move(link_limits)),
           seeds(std::move(seeds)), identity{std::move(name), base::to_unix_ms(clock.system_now())},
-          dispatcher(clock, limits), tick_timer(io), hello_timer(io), job_metrics(metrics),
+          dispatcher(clock, limits), callers(std::move(caller_bounds)), tick_timer(io),
+          hello_timer(io), job_metrics(metrics),
           cancels(io, clock, log, metrics, this->identity.name,
                   {.make_hello = [this] { return this->make_hello(); },
                    .on_hello = [this](frame& content) { this->learn(content); },
@@ -111,30 +115,51 @@
     std::uint64_t submit(dispatch::job_request request, answer_handler handler) override
     {
         auto const submission = ++this->last_submission;
-        auto& handlers = this->answer_handlers[request.key];
-        handlers.emplace(submission, std::move(handler));
-        if (handlers.size() == 1)
+        auto const [found, is_new] = this->open_submissions.try_emplace(request.key);
+        auto& open = found->second;
+        if (is_new)
+        {
+            open.time_budget = request.time_budget;
+        }
+        bool const has_room = this->callers.has_room(open.time_budget);
+        if (!is_new && !has_room)
+        {
+            // The job may run for its other callers.
+            handler({.key = request.key,
+                     .outcome = dispatch::job_outcome::given_up,
+                     .reason = std::string(too_many_callers)});
+            return submission;
+        }
+        open.handlers.emplace(submission, std::move(handler));
+        this->callers.add(open.time_budget);
+        if (is_new && has_room)
         {
             this->cancels.observe_budget(request.time_budget);
             this->dispatcher.submit(std::move(request));
-            this->schedule_flush();
         }
+        else if (is_new)
+        {
+            this->dispatcher.refuse(request, too_many_callers);
+        }
+        this->schedule_flush();
         return submission;
     }
 
     void withdraw(std::string const& key, std::uint64_t submission) override
     {
-        auto const found = this->answer_handlers.find(key);
-        if (found == this->answer_handlers.end() || !found->second.contains(submission))
+        auto const found = this->open_submissions.find(key);
+        if (found == this->open_submissions.end() || !found->second.handlers.contains(submission))
         {
             return;
         }
-        if (found->second.size() == 1)
+        auto& open = found->second;
+        if (open.handlers.size() == 1)
         {
             this->cancel(key);
             return;
         }
-        found->second.erase(submission);
+        open.handlers.erase(submission);
+        this->callers.remove(open.time_budget);
     }
 
     bool cancel(std::string const& key) override
@@ -175,6 +200,7 @@
 
     [[nodiscard]] std::size_t job_count() const override { return this->dispatcher.job_count(); }
     [[nodiscard]] std::size_t task_count() const override { return this->dispatcher.task_count(); }
+    [[nodiscard]] std::size_t waiting_callers() const override { return this->callers.count(); }
 
     [[nodiscard]] dispatch::control_snapshot_store const& control() const override
     {
@@ -618,15 +644,15 @@
                                                {"reason", action.reason},
                                                {"held_ms", std::to_string(action.latency.count())},
                                                {"runs", std::to_string(action.runs)}});
-        auto const found = this->answer_handlers.find(action.key);
-        if (found != this->answer_handlers.end())
+        auto const node = this->open_submissions.extract(action.key);
+        if (!node)
         {
-            auto const handlers = std::move(found->second);
-            this->answer_handlers.erase(found);
-            for (auto const& [submission, handler] : handlers)
-            {
-                handler(action);
-            }
+            return;
+        }
+        for (auto const& [submission, handler] : node.mapped().handlers)
+        {
+            this->callers.remove(node.mapped().time_budget);
+            handler(action);
         }
     }
 
@@ -638,6 +664,7 @@
     std::vector<std::string> seeds;
     dispatch::process_id identity;
     dispatch::job_dispatcher dispatcher;
+    dispatch::waiting_callers callers;
     dispatch::control_snapshot_store control_state;
     std::unique_ptr<net::link_server> link_listener;
     std::map<std::string, agent_link> agents;
@@ -647,8 +674,15 @@
     std::map<std::string, std::string> entries;
     std::map<std::uint64_t, std::shared_ptr<net::link>> pending_hellos;
     bool has_seed_responded = false;
-    /// Handlers of open jobs, by key and number of the submission.
-    std::map<std::string, std::map<std::uint64_t, answer_handler>> answer_handlers;
+    struct open_submission
+    {
+        /// Time budget of the job, and so of every caller that waits for its answer.
+        milliseconds time_budget{};
+        /// By number of the submission.
+        std::map<std::uint64_t, answer_handler> handlers;
+    };
+    /// Submissions of open jobs, by key.
+    std::map<std::string, open_submission> open_submissions;
     std::uint64_t last_submission = 0;
     asio::steady_timer tick_timer;
     asio::steady_timer hello_timer;
@@ -665,9 +699,9 @@
                                                        telemetry::event_log& log,
                                                        telemetry::metrics_registry& metrics) const
 {
-    return std::make_unique<entry_node_impl>(io, clock, log, metrics, this->own_name,
-                                             this->link_address, this->seed_links,
-                                             this->dispatch_limits, this->limits_of_links);
+    return std::make_unique<entry_node_impl>(
+        io, clock, log, metrics, this->own_name, this->link_address, this->seed_links,
+        this->dispatch_limits, this->bounds_of_callers, this->limits_of_links);
 }
 
 } // namespace filbertroad::node
--- a/filbertroad/node/entry_node.hpp
+++ b/filbertroad/node/entry_node.hpp
@@ -16,6 +16,7 @@
 #include "filbertroad/dispatch/cancel_coordinator.hpp"
 #include "filbertroad/dispatch/control_snapshot.hpp"
 #include "filbertroad/dispatch/job_dispatcher.hpp"
+#include "filbertroad/dispatch/waiting_callers.hpp"
 #include "filbertroad/net/link.hpp"
 #include "filbertroad/telemetry/event_log.hpp"
 #include "filbertroad/telemetry/metrics.hpp"
@@ -48,6 +49,7 @@
 
     /// Submits a job; `handler` is called once, with its answer. A further submission of a key
     /// whose job is still open starts nothing: the handlers of both get the answer of the open job.
+    /// A submission is answered at once if too many callers wait for jobs with such a time budget.
     /// Returns a number of the submission for withdraw().
     virtual std::uint64_t submit(dispatch::job_request request, answer_handler handler) = 0;
     /// The caller of a submission has disconnected. Cancels the job if no other submission waits
@@ -67,6 +69,8 @@
     [[nodiscard]] virtual std::size_t job_count() const = 0;
     /// Number of tasks of the open jobs.
     [[nodiscard]] virtual std::size_t task_count() const = 0;
+    /// Number of submissions that have not been answered.
+    [[nodiscard]] virtual std::size_t waiting_callers() const = 0;
 
     [[nodiscard]] virtual dispatch::control_snapshot_store const& control() const = 0;
     /// Takes a snapshot read from the platform if it is newer than the current one, and then sends
@@ -110,6 +114,13 @@
         return *this;
     }
 
+    /// Bounds for the callers that wait for jobs with long time budgets; none by default.
+    builder& caller_bounds(std::vector<dispatch::caller_bound> value)
+    {
+        this->bounds_of_callers = std::move(value);
+        return *this;
+    }
+
     builder& link_limits(net::link_limits value)
     {
         this->limits_of_links = std::move(value);
@@ -126,6 +137,7 @@
     std::string link_address;
     std::vector<std::string> seed_links;
     dispatch::dispatch_limits dispatch_limits;
+    std::vector<dispatch::caller_bound> bounds_of_callers;
     net::link_limits limits_of_links;
 };
 
