Bound the volume of the log, and keep the lines of ordinary jobs

Operators saw: refused or abandoned jobs at 9,000 a second wrote 2.4 to 2.7 MB a second, and a slow reader then lost the lines of ordinary jobs, first come, first served. A Request-Id of 16 KB was logged whole.

Cause: every line was written as it came, without regard to what became of its job.

Change: the lines of a job are held back for up to 200 ms.

--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -161,7 +161,7 @@
         return false;
     }
     auto& parent_job = *found->second;
-    this->give_up(parent_job, "cancelled");
+    this->give_up(parent_job, cancelled_reason);
     this->remove_if_ended(parent_job);
     return true;
 }
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -186,6 +186,8 @@
 
 struct send_start
 {
+    /// Key of the job.
+    std::string key;
     std::string agent;
     start_order order;
     /// Expected wait and run time on the agent's target.
--- a/filbertroad/dispatch/job_dispatcher_placement.cpp
+++ b/filbertroad/dispatch/job_dispatcher_placement.cpp
@@ -407,8 +407,9 @@
         item.order.required_labels = step.constraints->required_labels;
         item.order.max_per_target = step.constraints->max_per_target;
     }
-    this->actions.emplace_back(send_start{item.agent, item.order, chosen.wait, chosen.run,
-                                          previous_run, chosen.place, has_given_up_wait});
+    this->actions.emplace_back(send_start{parent_job.request.key, item.agent, item.order,
+                                          chosen.wait, chosen.run, previous_run, chosen.place,
+                                          has_given_up_wait});
 }
 
 } // namespace filbertroad::dispatch
--- a/filbertroad/dispatch/messages.hpp
+++ b/filbertroad/dispatch/messages.hpp
@@ -83,6 +83,10 @@
 
 [[nodiscard]] std::string_view to_string(run_end end);
 
+/// Reason of the answer to a job that its caller has cancelled or whose callers have left, and of
+/// the end of a run that its entry has cancelled.
+inline constexpr std::string_view cancelled_reason = "cancelled";
+
 /// Report of an agent that a run ended. `reason` is a text for display and logs.
 struct run_report
 {
--- a/filbertroad/dispatch/run_agent.cpp
+++ b/filbertroad/dispatch/run_agent.cpp
@@ -244,11 +244,11 @@
     }
     if (this->withdraw_start(*run))
     {
-        this->end_run(id.task, run_end::not_started, "cancelled");
+        this->end_run(id.task, run_end::not_started, cancelled_reason);
     }
     else
     {
-        this->stop(*run, "cancelled");
+        this->stop(*run, cancelled_reason);
     }
     this->start_queued();
 }
--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -344,15 +344,22 @@
     {
         this->runs_ended.increment();
         this->run_time.observe(std::chrono::duration<double>(action.report.elapsed).count());
-        this->log.write(events::run_ended,
-                        {{"task", action.report.id.task},
-                         {"run", std::to_string(action.report.id.run)},
-                         {"entry", action.entry},
-                         {"end", std::string(to_string(action.report.end))},
-                         {"reason", action.report.reason},
-                         {"target_lost", action.report.target_lost ? "true" : "false"},
-                         {"queued_ms", std::to_string(action.report.queued.count())},
-                         {"elapsed_ms", std::to_string(action.report.elapsed.count())}});
+        auto const& task = action.report.id.task;
+        this->log.begin_request(task);
+        this->log.write_for(task, events::run_ended,
+                            {{"task", task},
+                             {"run", std::to_string(action.report.id.run)},
+                             {"entry", action.entry},
+                             {"end", std::string(to_string(action.report.end))},
+                             {"reason", action.report.reason},
+                             {"target_lost", action.report.target_lost ? "true" : "false"},
+                             {"queued_ms", std::to_string(action.report.queued.count())},
+                             {"elapsed_ms", std::to_string(action.report.elapsed.count())}});
+        bool const is_dropped = action.report.end == dispatch::run_end::not_started ||
+                                action.report.reason == dispatch::cancelled_reason;
+        this->log.end_request(
+            task, is_dropped ? telemetry::request_end::dropped : telemetry::request_end::served,
+            action.report.reason);
         if (auto* const entry = this->connections.find(action.entry); entry != nullptr)
         {
             entry->reports.push_back(std::move(action.report));
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -609,13 +609,14 @@
     void execute(dispatch::send_start& action)
     {
         this->job_metrics.record_run_sent(action);
-        this->log.write(events::run_sent, {{"task", action.order.id.task},
-                                           {"run", std::to_string(action.order.id.run)},
-                                           {"agent", action.agent},
-                                           {"wait_ms", std::to_string(action.wait.count())},
-                                           {"run_ms", std::to_string(action.run.count())},
-                                           {"moved", std::string(to_string(action.previous_run))},
-                                           {"place", std::string(to_string(action.place))}});
+        this->log.write_for(action.key, events::run_sent,
+                            {{"task", action.order.id.task},
+                             {"run", std::to_string(action.order.id.run)},
+                             {"agent", action.agent},
+                             {"wait_ms", std::to_string(action.wait.count())},
+                             {"run_ms", std::to_string(action.run.count())},
+                             {"moved", std::string(to_string(action.previous_run))},
+                             {"place", std::string(to_string(action.place))}});
         this->urgent_frame(this->agents[action.agent]).starts.push_back(std::move(action.order));
     }
 
@@ -639,11 +640,18 @@
     void execute(dispatch::answer_job& action)
     {
         this->job_metrics.record_answer(action);
-        this->log.write(events::job_answered, {{"key", action.key},
-                                               {"outcome", std::string(to_string(action.outcome))},
-                                               {"reason", action.reason},
-                                               {"held_ms", std::to_string(action.latency.count())},
-                                               {"runs", std::to_string(action.runs)}});
+        this->log.write_for(action.key, events::job_answered,
+                            {{"key", action.key},
+                             {"outcome", std::string(to_string(action.outcome))},
+                             {"reason", action.reason},
+                             {"held_ms", std::to_string(action.latency.count())},
+                             {"runs", std::to_string(action.runs)}});
+        bool const is_dropped = action.outcome == dispatch::job_outcome::not_run ||
+                                action.reason == dispatch::cancelled_reason;
+        this->log.end_request(action.key,
+                              is_dropped ? telemetry::request_end::dropped
+                                         : telemetry::request_end::served,
+                              action.reason);
         auto const node = this->open_submissions.extract(action.key);
         if (!node)
         {
--- a/filbertroad/telemetry/event_log.hpp
+++ b/filbertroad/telemetry/event_log.hpp
@@ -31,6 +31,14 @@
     std::string value;
 };
 
+/// How a request ended, for the log.
+enum class request_end
+{
+    served,
+    /// Rejected, or abandoned by its client.
+    dropped,
+};
+
 /// Implementations must be thread safe.
 class event_log
 {
@@ -44,6 +52,24 @@
     {
         this->write(event, std::span(fields.begin(), fields.size()));
     }
+
+    /// Begins a request. A log may hold its events back until end_request(), but no longer than a
+    /// few hundred milliseconds.
+    virtual void begin_request(std::string_view /*request*/) {}
+
+    /// Writes an event of a request, also if the request has not begun.
+    virtual void write_for(std::string_view /*request*/, event_definition const& event,
+                           std::initializer_list<event_field> fields)
+    {
+        this->write(event, fields);
+    }
+
+    /// Ends a request. Of many requests that were dropped for the same reason, a log may count some
+    /// instead of writing their events.
+    virtual void end_request(std::string_view /*request*/, request_end /*end*/,
+                             std::string_view /*reason*/)
+    {
+    }
 };
 
 /// Discards every event; for tests and tools.
--- a/filbertroad/telemetry/events.hpp
+++ b/filbertroad/telemetry/events.hpp
@@ -146,6 +146,11 @@
     "A job was received; maps the id of its request to its key, and gives the version of the "
     "routes and the number of open agents at that time."};
 
+inline constexpr event_definition requests_summarized{
+    5008, severity::warning, "requests_summarized",
+    "Requests that were rejected, or abandoned by their clients, for the given reason, and whose "
+    "events were left out. At most one line a second for each reason."};
+
 inline constexpr event_definition cancel_decided{
     5020, severity::info, "cancel_decided",
     "A cancel of a job that this entry does not hold was answered, with the entries that could not "
@@ -242,6 +247,7 @@
     events::run_sent,
     events::request_refused,
     events::job_received,
+    events::requests_summarized,
     events::cancel_decided,
     events::admission_limited,
     events::admission_open,
