Share the payload among the orders of a job

Cause: each order held a copy of the payload of its job, and a message with references to one payload was expanded to copies when it was read: two messages of 120 KB took 782 MiB. Resumed orders repeated it on the wire, so that a link with more than 8 MiB of them was closed as often as it was opened.

Change: model::shared_text, whose copies share the text; resumed orders refer to the payload of the previous one from link protocol 2 on. The estimate of a job's memory counts its labels, which each order holds.

--- a/filbertroad/dispatch/internal/job_footprint.hpp
+++ b/filbertroad/dispatch/internal/job_footprint.hpp
@@ -31,14 +31,21 @@
     return tasks;
 }
 
-/// Bytes that the job holds when all of its tasks are sent: the order of each holds the payload.
+/// Bytes that the job holds when all of its tasks are sent: the orders share the payload, and each
+/// holds the labels.
 [[nodiscard]] inline std::size_t job_footprint(job_request const& request)
 {
-    auto bytes = job_bytes + request.payload.size() +
-                 task_count(request) * (task_bytes + request.payload.size());
+    auto bytes = job_bytes + request.payload.size() + task_count(request) * task_bytes;
     for (auto const& step : request.steps)
     {
         // Predecessors are held in both directions.
+        if (step.constraints)
+        {
+            for (auto const& label : step.constraints->required_labels)
+            {
+                bytes += step.count * (sizeof(label) + label.size());
+            }
+        }
         bytes += sizeof(step) + step_bytes + 2 * step.after.size() * sizeof(step.after.front());
     }
     return bytes;
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -148,7 +148,8 @@
     std::string key;
     std::string route;
     std::string service;
-    std::string payload;
+    /// Shared by the orders of all tasks.
+    model::shared_text payload;
     std::uint32_t priority = 0;
     std::uint32_t max_attempts = 1;
     double stretch = 1;
--- a/filbertroad/dispatch/messages.hpp
+++ b/filbertroad/dispatch/messages.hpp
@@ -6,6 +6,7 @@
 
 #include "filbertroad/dispatch/target_announcement.hpp"
 #include "filbertroad/model/resources.hpp"
+#include "filbertroad/model/shared_text.hpp"
 
 #include <array>
 #include <chrono>
@@ -54,7 +55,7 @@
 struct start_order
 {
     run_id id;
-    std::string payload;
+    model::shared_text payload;
     model::resources resources;
     /// Estimated run time on a target of speed 1.
     milliseconds estimate{};
--- a/filbertroad/dispatch/run_agent.hpp
+++ b/filbertroad/dispatch/run_agent.hpp
@@ -150,7 +150,7 @@
     std::uint64_t order_number = 0;
     /// Name of the process that the order is meant for; empty if it is not known.
     std::string target_process;
-    std::string payload;
+    model::shared_text payload;
     std::uint64_t lease_until_ms = 0;
     std::uint64_t fencing_token = 0;
 };
--- a/filbertroad/node/frame.cpp
+++ b/filbertroad/node/frame.cpp
@@ -1,6 +1,7 @@
 #include "filbertroad/node/frame.hpp"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace filbertroad::node
@@ -41,7 +42,7 @@
 void write(dispatch::start_order const& order, wire::run_order& out)
 {
     write(order.id, *out.mutable_id());
-    out.set_payload(order.payload);
+    out.set_payload(order.payload.str());
     write(order.resources, *out.mutable_room());
     out.set_estimate_ms(to_wire(order.estimate));
     out.set_priority(order.priority);
@@ -260,17 +261,17 @@
     return {in.name(), in.incarnation()};
 }
 
-/// Tasks of a job share their payload, so it is sent once for those in the same frame.
-void write_starts(frame const& content, std::uint32_t receiver_protocol, wire::dispatch_frame& out)
+/// Writes orders to the messages that `add` returns. Tasks of a job share their payload, so that it
+/// is sent once for those in the same list if `shares_payloads`.
+template <class Add>
+void write_sharing(std::span<dispatch::start_order const> orders, bool shares_payloads, Add add)
 {
     dispatch::start_order const* previous = nullptr;
-    for (auto const& order : content.starts)
+    for (auto const& order : orders)
     {
-        auto& added = *out.add_starts();
+        wire::run_order& added = add();
         write(order, added);
-        bool const is_shared =
-            receiver_protocol >= 1 && previous != nullptr && previous->payload == order.payload;
-        if (is_shared)
+        if (shares_payloads && previous != nullptr && previous->payload == order.payload)
         {
             added.clear_payload();
             added.set_payload_of_previous(true);
@@ -279,15 +280,20 @@
     }
 }
 
-void write_orders(frame const& content, wire::dispatch_frame& out)
+void write_starts(frame const& content, std::uint32_t receiver_protocol, wire::dispatch_frame& out)
+{
+    write_sharing(
+        content.starts, receiver_protocol >= 1, [&]() -> auto& { return *out.add_starts(); });
+}
+
+void write_orders(frame const& content, std::uint32_t receiver_protocol, wire::dispatch_frame& out)
 {
     if (content.resume)
     {
         auto& resumed = *out.mutable_resume();
-        for (auto const& order : *content.resume)
-        {
-            write(order, *resumed.add_orders());
-        }
+        write_sharing(
+            *content.resume,
+            receiver_protocol >= 2, [&]() -> auto& { return *resumed.add_orders(); });
     }
     for (auto const& id : content.cancels)
     {
@@ -299,28 +305,39 @@
     }
 }
 
-/// Returns false if an order refers to a payload that the frame does not have.
-[[nodiscard]] bool read_orders(wire::dispatch_frame const& in, frame& out)
+/// Returns false if an order refers to the payload of a previous one and there is none.
+template <class Orders>
+[[nodiscard]] bool read_sharing(Orders const& in, std::vector<dispatch::start_order>& out)
 {
-    for (auto const& order : in.starts())
+    for (auto const& order : in)
     {
         auto added = read(order);
         if (order.payload_of_previous())
         {
-            if (out.starts.empty())
+            if (out.empty())
             {
                 return false;
             }
-            added.payload = out.starts.back().payload;
+            added.payload = out.back().payload;
         }
-        out.starts.push_back(std::move(added));
+        out.push_back(std::move(added));
+    }
+    return true;
+}
+
+/// Returns false if an order refers to a payload that the frame does not have.
+[[nodiscard]] bool read_orders(wire::dispatch_frame const& in, frame& out)
+{
+    if (!read_sharing(in.starts(), out.starts))
+    {
+        return false;
     }
     if (in.has_resume())
     {
         out.resume.emplace();
-        for (auto const& order : in.resume().orders())
+        if (!read_sharing(in.resume().orders(), *out.resume))
         {
-            out.resume->push_back(read(order));
+            return false;
         }
     }
     for (auto const& id : in.cancels())
@@ -391,7 +408,7 @@
         out.mutable_entry()->set_protocol_version(protocol_version);
     }
     write_starts(content, receiver_protocol, out);
-    write_orders(content, out);
+    write_orders(content, receiver_protocol, out);
     if (content.status)
     {
         write(*content.status, *out.mutable_load());
--- a/filbertroad/node/frame.hpp
+++ b/filbertroad/node/frame.hpp
@@ -20,8 +20,9 @@
 {
 
 /// Version of the link protocol of this program, sent in the first frame of a link. Version 1 adds
-/// orders that share a payload and statuses without details.
-inline constexpr std::uint32_t protocol_version = 1;
+/// orders that share a payload and statuses without details; version 2, resumed orders that share
+/// one.
+inline constexpr std::uint32_t protocol_version = 2;
 
 struct frame
 {
--- a/filbertroad/node/frame_test.cpp
+++ b/filbertroad/node/frame_test.cpp
@@ -196,5 +196,27 @@
     EXPECT_EQ(decoded->status->capacity, content.status->capacity);
 }
 
+// Guards against a link that closes as often as it is opened, since the runs that are resumed on it
+// repeat their payload and exceed the largest message.
+TEST(frame_test, resumed_orders_share_their_payload_from_protocol_2_on)
+{
+    frame content;
+    content.resume.emplace();
+    for (std::uint32_t number = 0; number < 1'000; ++number)
+    {
+        content.resume->push_back(
+            {.id = {"task." + std::to_string(number), 1}, .payload = std::string(4'000, 'p')});
+    }
+    auto const message = encode_frame(content, 2);
+    EXPECT_LT(message.ByteSizeLong(), 100'000U);
+    EXPECT_GT(encode_frame(content, 1).ByteSizeLong(), 4'000'000U);
+    auto const decoded = decode_frame(message);
+    ASSERT_TRUE(decoded && decoded->resume);
+    ASSERT_EQ(decoded->resume->size(), 1'000U);
+    EXPECT_EQ(decoded->resume->back().payload, content.resume->back().payload);
+    EXPECT_EQ(decoded->resume->back().payload.str().data(),
+              decoded->resume->front().payload.str().data());
+}
+
 } // namespace
 } // namespace filbertroad::node
