Leave room for small jobs beside a crowd of large ones

Callers saw: beside eight clients with jobs of 10,000 tasks, an ordinary job waited for its whole time budget and was answered 503 (OrdinaryJobs.test_jobs_with_the_most_tasks_and_the_largest_text on: 503, held 3,990 ms, no run).

Cause: large jobs used every open run of each target, and could use all bytes and tasks of the entry.

Change: a job of more than 270 tasks uses three quarters of each of these totals at most.

Evidence: job_limits_test.large_jobs_leave_room_for_small_ones, and the test above.

--- a/filbertroad/dispatch/job_dispatcher.cpp
+++ b/filbertroad/dispatch/job_dispatcher.cpp
@@ -148,9 +148,11 @@
     {
         return true;
     }
+    auto const added = internal::task_count(request);
     return !this->jobs.empty() &&
-           (this->tasks.size() + internal::task_count(request) > this->limits.max_tasks ||
-            this->job_bytes + internal::job_footprint(request) > this->limits.max_job_bytes);
+           (this->tasks.size() + added > this->share_of(this->limits.max_tasks, added) ||
+            this->job_bytes + internal::job_footprint(request) >
+                this->share_of(this->limits.max_job_bytes, added));
 }
 
 bool job_dispatcher::cancel(std::string_view key)
@@ -226,6 +228,21 @@
     }
 }
 
+bool job_dispatcher::can_forget(std::string_view agent) const
+{
+    auto const found = this->agents.find(agent);
+    return found == this->agents.end() ||
+           (!found->second.is_connected() && found->second.open_runs() == 0);
+}
+
+void job_dispatcher::forget_agent(std::string_view agent)
+{
+    if (auto const found = this->agents.find(agent); found != this->agents.end())
+    {
+        this->agents.erase(found);
+    }
+}
+
 void job_dispatcher::status_received(std::string_view agent, target_status const& status)
 {
     auto const found = this->agents.find(agent);
--- a/filbertroad/dispatch/job_dispatcher.hpp
+++ b/filbertroad/dispatch/job_dispatcher.hpp
@@ -85,6 +85,9 @@
     /// Starts sent to one agent whose ends are not known. An agent with so many gets no further
     /// ones from this entry: each of its reports costs a pass over its runs.
     std::size_t max_runs_per_target = 1'000;
+    /// Jobs with more tasks leave a quarter of `max_tasks`, `max_job_bytes` and
+    /// `max_runs_per_target` to others.
+    std::size_t large_job_tasks = 270;
     /// A run counts as stalled after this multiple of its expected time plus `stall_slack`.
     double stall_factor = 2.5;
     milliseconds stall_slack{150};
@@ -277,6 +280,10 @@
     /// earlier one have ended; an older incarnation is ignored.
     void agent_connected(process_id const& agent);
     void agent_disconnected(std::string_view agent);
+    /// Whether the agent is not connected and none of its runs may go on.
+    [[nodiscard]] bool can_forget(std::string_view agent) const;
+    /// Drops what is known about an agent. Precondition: can_forget().
+    void forget_agent(std::string_view agent);
     void status_received(std::string_view agent, target_status const& status);
     void run_ended(std::string_view agent, run_report const& report);
     /// Number of entries known, including this one.
@@ -407,6 +414,11 @@
     /// Adds the task to the in-flight load of the chosen agent.
     void reserve(job const& parent_job, task const& item, placement const& chosen);
     void send(job& parent_job, task& item, placement const& chosen);
+    /// The part of `limit` that a job with so many tasks may use.
+    [[nodiscard]] std::size_t share_of(std::size_t limit, std::size_t job_tasks) const
+    {
+        return job_tasks > this->limits.large_job_tasks ? limit / 4 * 3 : limit;
+    }
     /// Whether there is no room for a further job.
     [[nodiscard]] bool is_full(job_request const& request) const;
     /// Whether it is certain that no task of the job has been started.
--- a/filbertroad/dispatch/job_dispatcher_placement.cpp
+++ b/filbertroad/dispatch/job_dispatcher_placement.cpp
@@ -135,12 +135,12 @@
     bool const is_suspect = this->is_isolated(parent_job);
     std::vector<placement> candidates;
     std::optional<placement> last_resort;
+    auto const max_runs = this->share_of(this->limits.max_runs_per_target, parent_job.tasks.size());
     this->visits.targets += this->agents.size();
     for (auto const& [name, view] : this->agents)
     {
         if (!view.accepts_starts(now) || view.status().service != parent_job.request.service ||
-            !view.status().capacity.can_fit(step.resources) ||
-            view.open_runs() >= this->limits.max_runs_per_target ||
+            !view.status().capacity.can_fit(step.resources) || view.open_runs() >= max_runs ||
             (is_suspect && !isolated.contains(name)) ||
             (filter != nullptr && !filter->permits(name, view.status().labels)))
         {
--- a/filbertroad/dispatch/job_limits_test.cpp
+++ b/filbertroad/dispatch/job_limits_test.cpp
@@ -78,5 +78,37 @@
     EXPECT_EQ(dispatcher.task_count(), 270U);
 }
 
+// Guards against a crowd of large jobs that fills the entry and every target, so that small jobs
+// find no room.
+TEST_F(job_limits_test, large_jobs_leave_room_for_small_ones)
+{
+    dispatch_limits limits;
+    limits.max_tasks = 4'000;
+    limits.max_runs_per_target = 1'000;
+    job_dispatcher dispatcher(this->clock, limits);
+    dispatcher.agent_connected({"a", 1});
+    auto status = make_status(64'000);
+    dispatcher.status_received("a", status);
+    auto const make_large = [](std::string const& key)
+    {
+        auto job = make_patient_job(key);
+        job.steps.front().count = 1'000;
+        job.steps.front().resources = {1, 0, 0};
+        return job;
+    };
+    for (std::string const key : {"1", "2", "3"})
+    {
+        EXPECT_FALSE(submit_to(dispatcher, make_large(key))) << key;
+    }
+    EXPECT_EQ(submit_to(dispatcher, make_large("4"))->outcome, job_outcome::not_run);
+    dispatcher.submit(make_patient_job("small"));
+    std::size_t starts = 0;
+    for (auto const& action : dispatcher.take_actions())
+    {
+        starts += std::holds_alternative<send_start>(action) ? 1 : 0;
+    }
+    EXPECT_EQ(starts, 1U);
+}
+
 } // namespace
 } // namespace filbertroad::dispatch
