Bound what a message of a link makes an entry hold and do

Seen: a peer of the link address ended an entry of 120 MB with one message. After 4,096 agents of made-up names, or of replaced machines, no new agent was linked until the entry restarted: no job was answered for 200 s.

Cause: a parsed message takes over fifty times its size, and entries decoded orders, which only agents carry out. Each change of an address was queued for each agent. Texts of a status had no bound, the links for cancels had the default limits of 32 MiB, and names of agents were kept for ever.

--- a/platform/limit_reporter.hpp
+++ b/filbertroad/limits/limit_reporter.hpp
@@ -1,13 +1,13 @@
-#ifndef FILBERTROAD_PLATFORM_LIMIT_REPORTER_HPP
-#define FILBERTROAD_PLATFORM_LIMIT_REPORTER_HPP
+#ifndef FILBERTROAD_LIMITS_LIMIT_REPORTER_HPP
+#define FILBERTROAD_LIMITS_LIMIT_REPORTER_HPP
 
 /// Counts and logs the uses of limits: a metric for each reason, and at most one line a second for
 /// each reason.
 ///
-///     platform::limit_reporter reporter(clock, log, metrics);
+///     limits::limit_reporter reporter(clock, log, metrics);
 ///     limits.on_limit = reporter.handler();
 ///
-/// Not thread-safe.
+/// Thread-safe.
 
 #include "filbertroad/base/clock.hpp"
 #include "filbertroad/net/limit_reason.hpp"
@@ -18,10 +18,11 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <mutex>
 #include <optional>
 #include <string>
 
-namespace filbertroad::platform
+namespace filbertroad::limits
 {
 
 class limit_reporter
@@ -50,6 +51,7 @@
 
     void record(net::limit_reason reason)
     {
+        std::scoped_lock const guard(this->lock);
         auto& state = this->reasons[static_cast<std::size_t>(reason)];
         state.total->increment();
         ++state.unreported;
@@ -79,9 +81,10 @@
 
     base::clock const& clock;
     telemetry::event_log& log;
+    std::mutex lock;
     std::array<reason_state, net::limit_reason_names.size()> reasons;
 };
 
-} // namespace filbertroad::platform
+} // namespace filbertroad::limits
 
 #endif
--- a/filbertroad/net/internal/tcp_link.cpp
+++ b/filbertroad/net/internal/tcp_link.cpp
@@ -37,7 +37,9 @@
       timer(this->strand),
       tls(tls ? std::make_unique<tls_layer>(this->socket, std::move(tls)) : nullptr),
       handlers(std::move(handlers)), side(side), session(side, *this), limits(std::move(limits)),
-      reader(this->limits.max_message_bytes),
+      reader(this->limits.max_received_bytes != 0
+                 ? std::min(this->limits.max_received_bytes, this->limits.max_message_bytes)
+                 : this->limits.max_message_bytes),
       last_input_ticks(std::chrono::steady_clock::now().time_since_epoch().count())
 {
 }
--- a/filbertroad/net/link.hpp
+++ b/filbertroad/net/link.hpp
@@ -55,6 +55,9 @@
 {
     /// Largest message. The default fits a job of 270 tasks of 64 KiB each.
     std::size_t max_message_bytes = 32UL * 1024 * 1024;
+    /// Largest message that is received, if it is less; 0 otherwise. A parsed message can take over
+    /// fifty times its size.
+    std::size_t max_received_bytes = 0;
     /// Limit for the bytes that wait to be sent. A link whose peer reads too slowly is closed when
     /// a message would exceed the limit.
     std::size_t max_send_backlog_bytes = 64UL * 1024 * 1024;
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <utility>
 
 namespace filbertroad::node
@@ -38,6 +39,9 @@
 /// Time between two hellos to the seeds, sent until one of them has responded.
 constexpr milliseconds hello_interval{1'000};
 
+/// Longest IP:PORT.
+constexpr std::size_t max_address_bytes = 64;
+
 /// Reason of an answer to a caller with a long time budget.
 constexpr std::string_view too_many_callers = "too many callers wait for long jobs";
 
@@ -70,7 +74,7 @@
           seeds(std::move(seeds)), identity{std::move(name), base::to_unix_ms(clock.system_now())},
           dispatcher(clock, limits), callers(std::move(caller_bounds)), tick_timer(io),
           hello_timer(io), job_metrics(metrics),
-          cancels(io, clock, log, metrics, this->identity.name,
+          cancels(io, clock, log, metrics, this->identity.name, this->link_limits,
                   {.make_hello = [this] { return this->make_hello(); },
                    .on_hello = [this](frame& content) { this->learn(content); },
                    .cancel_here = [this](std::string const& key) { return this->cancel(key); }}),
@@ -218,12 +222,17 @@
         {
             return;
         }
-        if (this->entries.size() >= internal::max_known_peers &&
-            !this->entries.contains(entry.name))
+        auto const added_bytes = entry.name.size() + max_address_bytes;
+        bool const has_room =
+            this->entries.size() < internal::max_known_peers &&
+            this->known_entry_bytes + added_bytes <= internal::max_known_entry_bytes;
+        if (!has_room && !this->entries.contains(entry.name))
         {
             return;
         }
-        auto& known_link = this->entries[entry.name];
+        auto const [known, is_new] = this->entries.try_emplace(entry.name);
+        this->known_entry_bytes += is_new ? added_bytes : 0;
+        auto& known_link = known->second;
         // Records of other writers may name another address for this entry.
         bool const is_wrong = entry.name == this->identity.name && entry.link != this->address;
         if (is_wrong || known_link == entry.link)
@@ -233,11 +242,7 @@
         known_link = entry.link;
         this->dispatcher.set_entry_count(this->entries.size());
         this->cancels.add_entry(entry);
-        this->log.write(events::entry_known, {{"entry", entry.name}, {"link", entry.link}});
-        for (auto& [name, agent] : this->agents)
-        {
-            this->urgent_frame(agent).entries.push_back(entry);
-        }
+        this->changed_entries.insert(entry.name);
         this->schedule_flush();
     }
 
@@ -255,7 +260,7 @@
 private:
     void handle_message(std::shared_ptr<net::link> const& link, wire::link_message const& message)
     {
-        auto content = decode_frame(message);
+        auto content = decode_frame(message, frame_receiver::entry);
         if (!content)
         {
             this->log.write(events::bad_input,
@@ -268,7 +273,7 @@
             this->handle_entry_hello(link, *content);
             return;
         }
-        if (content->sender_agent)
+        if (content->sender_agent && !this->agent_by_link.contains(link->number()))
         {
             this->register_agent(link, *content->sender_agent, content->sender_protocol);
         }
@@ -282,16 +287,22 @@
     /// Takes over what the hello of another entry says.
     void learn(frame& content)
     {
-        for (auto const& entry : content.entries)
-        {
-            this->add_entry(entry);
-        }
+        this->add_entries(content.entries);
         if (content.snapshot)
         {
             this->apply_snapshot(std::move(*content.snapshot), content.sender_entry->name);
         }
     }
 
+    void add_entries(std::span<dispatch::entry_address const> added)
+    {
+        // No process knows more.
+        for (auto const& entry : added.first(std::min(added.size(), internal::max_known_peers)))
+        {
+            this->add_entry(entry);
+        }
+    }
+
     /// Handles the hello of another entry, or the response of a seed to the hello of this entry.
     void handle_entry_hello(std::shared_ptr<net::link> const& link, frame& content)
     {
@@ -302,6 +313,12 @@
             link->close();
             return;
         }
+        if (!this->greeted_links.insert(link->number()).second)
+        {
+            // An entry sends one hello on a link.
+            link->close();
+            return;
+        }
         auto hello = this->make_hello();
         if (content.for_cancels)
         {
@@ -328,9 +345,9 @@
     void register_agent(std::shared_ptr<net::link> const& link, dispatch::process_id const& agent,
                         std::uint32_t protocol)
     {
-        bool const has_room = this->agents.size() < internal::max_known_peers &&
-                              agent.name.size() <= internal::max_peer_name_bytes;
-        if (!has_room && !this->agents.contains(agent.name))
+        bool const has_room = agent.name.size() <= internal::max_peer_name_bytes &&
+                              (this->agents.contains(agent.name) || this->make_room_for_agent());
+        if (!has_room)
         {
             link->close();
             return;
@@ -354,6 +371,34 @@
         this->log.write(events::agent_linked, {{"agent", agent.name}});
     }
 
+    /// Forgets the agent that has been gone for longest if there are too many. Returns false if
+    /// each is linked or may have runs.
+    bool make_room_for_agent()
+    {
+        if (this->agents.size() < internal::max_known_peers)
+        {
+            return true;
+        }
+        auto oldest = this->agents.end();
+        for (auto next = this->agents.begin(); next != this->agents.end(); ++next)
+        {
+            bool const is_older = oldest == this->agents.end() ||
+                                  next->second.last_received < oldest->second.last_received;
+            if (!next->second.link && is_older && this->dispatcher.can_forget(next->first))
+            {
+                oldest = next;
+            }
+        }
+        if (oldest == this->agents.end())
+        {
+            return false;
+        }
+        std::erase(this->pending_links, &oldest->second);
+        this->dispatcher.forget_agent(oldest->first);
+        this->agents.erase(oldest);
+        return true;
+    }
+
     void process_frame(std::string const& agent, frame& content)
     {
         auto& state = this->agents[agent];
@@ -379,10 +424,7 @@
         {
             this->apply_snapshot(std::move(*content.snapshot), agent);
         }
-        for (auto const& entry : content.entries)
-        {
-            this->add_entry(entry);
-        }
+        this->add_entries(content.entries);
         this->schedule_flush();
     }
 
@@ -449,6 +491,7 @@
                             base::error<net::net_error> const& error)
     {
         this->pending_hellos.erase(link->number());
+        this->greeted_links.erase(link->number());
         this->cancels.incoming_closed(*link);
         auto const found = this->agent_by_link.find(link->number());
         if (found == this->agent_by_link.end())
@@ -554,10 +597,28 @@
     void flush()
     {
         this->is_flush_scheduled = false;
+        this->announce_entries();
         this->execute_actions();
         this->send_pending(false);
     }
 
+    /// Sends the addresses that have changed to all agents, which connect to them.
+    void announce_entries()
+    {
+        for (auto const& name : std::exchange(this->changed_entries, {}))
+        {
+            auto const& address = this->entries[name];
+            this->log.write(events::entry_known, {{"entry", name}, {"link", address}});
+            for (auto& [agent_name, agent] : this->agents)
+            {
+                if (agent.link)
+                {
+                    this->urgent_frame(agent).entries.push_back({name, address});
+                }
+            }
+        }
+    }
+
     void execute_actions()
     {
         for (auto& action : this->dispatcher.take_actions())
@@ -677,9 +738,14 @@
     std::unique_ptr<net::link_server> link_listener;
     std::map<std::string, agent_link> agents;
     std::map<std::uint64_t, std::string> agent_by_link;
-    /// Agents with a pending frame. Entries of `agents` are never erased.
+    /// Agents with a pending frame.
     std::vector<agent_link*> pending_links;
     std::map<std::string, std::string> entries;
+    std::size_t known_entry_bytes = 0;
+    /// Entries whose addresses have changed since the last flush.
+    std::set<std::string> changed_entries;
+    /// Links on which the hello of an entry has been answered.
+    std::set<std::uint64_t> greeted_links;
     std::map<std::uint64_t, std::shared_ptr<net::link>> pending_hellos;
     bool has_seed_responded = false;
     struct open_submission
--- a/filbertroad/node/frame.cpp
+++ b/filbertroad/node/frame.cpp
@@ -9,6 +9,10 @@
 namespace
 {
 
+/// Longest text of a status, and most routes that it names.
+constexpr std::size_t max_status_text_bytes = 1'024;
+constexpr int max_crash_routes = 64;
+
 using dispatch::milliseconds;
 
 void write(dispatch::run_id const& id, wire::run_ref& out)
@@ -230,6 +234,16 @@
     }
 }
 
+/// Whether the texts of a status are not too long to be kept for each agent.
+bool is_bounded(wire::agent_load const& in)
+{
+    auto const is_short = [](std::string const& text)
+    { return text.size() <= max_status_text_bytes; };
+    return is_short(in.service()) && is_short(in.zone()) && is_short(in.target_kind()) &&
+           is_short(in.target_rack()) && in.crash_routes_size() <= max_crash_routes &&
+           std::all_of(in.crash_routes().begin(), in.crash_routes().end(), is_short);
+}
+
 dispatch::control_snapshot read(wire::dispatch_snapshot const& in)
 {
     dispatch::control_snapshot snapshot;
@@ -440,13 +454,17 @@
     return message;
 }
 
-std::optional<frame> decode_frame(wire::link_message const& message)
+std::optional<frame> decode_frame(wire::link_message const& message, frame_receiver receiver)
 {
     if (!message.has_dispatch())
     {
         return std::nullopt;
     }
     auto const& in = message.dispatch();
+    if (in.has_load() && !is_bounded(in.load()))
+    {
+        return std::nullopt;
+    }
     frame out;
     if (in.has_agent())
     {
@@ -458,7 +476,7 @@
         out.sender_entry = read(in.entry());
         out.sender_protocol = in.entry().protocol_version();
     }
-    if (!read_orders(in, out))
+    if (receiver == frame_receiver::agent && !read_orders(in, out))
     {
         return std::nullopt;
     }
--- a/filbertroad/node/frame.hpp
+++ b/filbertroad/node/frame.hpp
@@ -56,8 +56,18 @@
 [[nodiscard]] wire::link_message encode_frame(frame const& content,
                                               std::uint32_t receiver_protocol = 0);
 
-/// Returns the frame in `message`; nothing if the message carries none or a malformed one.
-[[nodiscard]] std::optional<frame> decode_frame(wire::link_message const& message);
+/// Which process receives a frame.
+enum class frame_receiver
+{
+    agent,
+    /// Orders are left out: only agents carry them out.
+    entry,
+};
+
+/// Returns the frame in `message`; nothing if the message carries none or a malformed one, or names
+/// and texts that are longer than any process sends.
+[[nodiscard]] std::optional<frame> decode_frame(wire::link_message const& message,
+                                                frame_receiver receiver = frame_receiver::agent);
 
 } // namespace filbertroad::node
 
--- a/filbertroad/node/internal/cancel_exchange.cpp
+++ b/filbertroad/node/internal/cancel_exchange.cpp
@@ -32,9 +32,10 @@
 
 cancel_exchange::cancel_exchange(asio::io_context& io, base::clock const& clock,
                                  telemetry::event_log& log, telemetry::metrics_registry& metrics,
-                                 std::string own_name, handlers callbacks)
-    : io(io), clock(clock), log(log), metrics(metrics), callbacks(std::move(callbacks)),
-      decision(clock, std::move(own_name), {}),
+                                 std::string own_name, net::link_limits link_limits,
+                                 handlers callbacks)
+    : io(io), clock(clock), log(log), metrics(metrics), link_limits(std::move(link_limits)),
+      callbacks(std::move(callbacks)), decision(clock, std::move(own_name), {}),
       latency(metrics.add_histogram("filbertroad_cancel_seconds",
                                     "Time to the answer of a cancel for which other entries were "
                                     "asked."))
@@ -191,7 +192,8 @@
                  this->decision.link_closed(address, error.code == net::net_error::refused);
                  this->schedule_run();
              }
-         }});
+         }},
+        nullptr, this->link_limits);
 }
 
 void cancel_exchange::execute(dispatch::close_peer_link const& action)
@@ -253,7 +255,7 @@
     {
         return;
     }
-    auto content = decode_frame(message);
+    auto content = decode_frame(message, frame_receiver::entry);
     if (!content)
     {
         this->log.write(events::bad_input, {{"reason", "link message without a dispatch frame"}});
--- a/filbertroad/node/internal/cancel_exchange.hpp
+++ b/filbertroad/node/internal/cancel_exchange.hpp
@@ -42,7 +42,7 @@
 
     cancel_exchange(boost::asio::io_context& io, base::clock const& clock,
                     telemetry::event_log& log, telemetry::metrics_registry& metrics,
-                    std::string own_name, handlers callbacks);
+                    std::string own_name, net::link_limits link_limits, handlers callbacks);
 
     void add_entry(dispatch::entry_address const& entry);
     void add_seed(std::string const& address);
@@ -88,6 +88,7 @@
     base::clock const& clock;
     telemetry::event_log& log;
     telemetry::metrics_registry& metrics;
+    net::link_limits link_limits;
     handlers callbacks;
     dispatch::cancel_coordinator decision;
     /// Links that this entry has opened, by address.
--- a/filbertroad/node/internal/usable_address.hpp
+++ b/filbertroad/node/internal/usable_address.hpp
@@ -20,6 +20,9 @@
 /// hellos of ever new names must not take more memory.
 inline constexpr std::size_t max_known_peers = 4'096;
 
+/// Most bytes of the names and addresses of entries, which are sent in one message.
+inline constexpr std::size_t max_known_entry_bytes = 128UL * 1024;
+
 /// Longest name of a process, as for names in settings and keys of records.
 inline constexpr std::size_t max_peer_name_bytes = 256;
 
