Let the limits of the roles entry and agent follow their machine

Cause: both roles had constant totals (256 MiB for HTTP, 1 GiB for links, 128 MiB of held payloads, 64 MiB of ledger), whatever the memory of their machine, and no metric of them.

Change: limits.memory_mb (1,024) and, for entries, limits.file_descriptors. The totals are shares of the memory; the largest body is received on every machine. filbertroad_limit_reached_total, filbertroad_http_connections and filbertroad_http_buffered_bytes, and the event limit_reached, as for the other roles.

--- a/filbertroad/server/agent_links.cpp
+++ b/filbertroad/server/agent_links.cpp
@@ -10,9 +10,10 @@
 
 agent_links::agent_links(boost::asio::io_context& io, base::clock const& clock,
                          execution::agent_core& core, std::vector<std::string> seeds,
-                         std::mt19937_64 random, agent_link_callbacks callbacks)
+                         std::mt19937_64 random, agent_link_callbacks callbacks,
+                         net::link_limits limits)
     : io(io), clock(clock), core(core), seeds(std::move(seeds)), random(random),
-      callbacks(std::move(callbacks))
+      callbacks(std::move(callbacks)), limits(std::move(limits))
 {
 }
 
@@ -125,7 +126,8 @@
             { this->received(link->number(), message); },
             .on_closed = [this](link_ptr const& link, base::error<net::net_error> const& error)
             { this->drop(link->number(), error.detail); },
-        });
+        },
+        nullptr, this->limits);
     auto& added = this->connections[link->number()];
     added.link = link;
     added.address = address;
--- a/filbertroad/server/agent_links.hpp
+++ b/filbertroad/server/agent_links.hpp
@@ -58,7 +58,7 @@
     /// `seeds` are the addresses (IP:PORT) to try while no member can be reached.
     agent_links(boost::asio::io_context& io, base::clock const& clock, execution::agent_core& core,
                 std::vector<std::string> seeds, std::mt19937_64 random,
-                agent_link_callbacks callbacks);
+                agent_link_callbacks callbacks, net::link_limits limits);
 
     /// Closes idle and excluded links, connects and reconnects. Call every 100 ms.
     void tick();
@@ -118,6 +118,7 @@
     std::vector<std::string> seeds;
     std::mt19937_64 random;
     agent_link_callbacks callbacks;
+    net::link_limits limits;
     std::map<std::uint64_t, connection> connections;
     std::map<model::process_id, std::uint64_t> link_numbers;
     std::map<std::string, backoff> backoffs;
--- a/filbertroad/server/agent_process.cpp
+++ b/filbertroad/server/agent_process.cpp
@@ -1,6 +1,7 @@
 #include "filbertroad/server/agent_process.hpp"
 
 #include "filbertroad/base/hash.hpp"
+#include "filbertroad/limits/limit_reporter.hpp"
 #include "filbertroad/net/http.hpp"
 #include "filbertroad/server/agent_http_api.hpp"
 #include "filbertroad/server/agent_links.hpp"
@@ -80,6 +81,7 @@
 
 private:
     agent_link_callbacks make_link_callbacks();
+    net::link_limits make_link_limits();
     agent_http_callbacks make_http_callbacks();
     void execute_actions();
     void target_replied(wire::task_ref const& task, target_reply reply,
@@ -101,6 +103,7 @@
     model::process_id self;
     telemetry::metrics_registry registry;
     agent_metrics metrics{registry};
+    limits::limit_reporter limit_reporter{this->clock, this->log, this->registry};
     span_recorder recorder;
     execution::agent_core core;
     agent_target target;
@@ -127,11 +130,18 @@
           { this->target_replied(task, std::move(reply), run_time); }),
       links(this->io, clock, this->core, this->options.entries,
             std::mt19937_64(base::hash64(this->self.name, this->self.incarnation)),
-            this->make_link_callbacks()),
+            this->make_link_callbacks(), this->make_link_limits()),
       http_callbacks(this->make_http_callbacks())
 {
 }
 
+net::link_limits agent_process::implementation::make_link_limits()
+{
+    auto limits = this->options.limits.links;
+    limits.on_limit = this->limit_reporter.handler();
+    return limits;
+}
+
 agent_link_callbacks agent_process::implementation::make_link_callbacks()
 {
     return {
@@ -163,11 +173,10 @@
 
 bool agent_process::implementation::open()
 {
-    net::http_limits limits;
-    limits.max_body_bytes = 64UL * 1024;
-    limits.max_connections = 64;
+    auto limits = this->options.limits.http;
+    limits.on_limit = this->limit_reporter.handler();
     auto server = net::http_server::listen(
-        this->io, this->options.listen, limits,
+        this->io, this->options.listen, std::move(limits),
         [this](net::http_request const& request, net::http_responder const& respond)
         { respond(handle_agent_request(request, this->http_callbacks)); });
     if (!server)
@@ -373,7 +382,8 @@
     this->process_options.entries = value.entries;
     this->process_options.drain_timeout = value.drain_time;
     this->process_options.core.max_ledger_entries = value.max_ledger_entries;
-    this->process_options.core.max_ledger_bytes = value.max_ledger_bytes;
+    this->process_options.limits = make_agent_limits(value, {});
+    this->process_options.core.max_ledger_bytes = this->process_options.limits.max_ledger_bytes;
     return *this;
 }
 
--- a/filbertroad/server/agent_process.hpp
+++ b/filbertroad/server/agent_process.hpp
@@ -9,6 +9,7 @@
 
 #include "filbertroad/base/clock.hpp"
 #include "filbertroad/execution/agent_core.hpp"
+#include "filbertroad/server/peer_limits.hpp"
 #include "filbertroad/settings/settings.hpp"
 #include "filbertroad/telemetry/event_log.hpp"
 #include "filbertroad/telemetry/span_writer.hpp"
@@ -43,6 +44,8 @@
     /// Time for which a shutdown waits for running tasks and for acknowledgements of results.
     std::chrono::milliseconds drain_timeout{60'000};
     execution::agent_options core{};
+    /// What peers can make the process hold; the handler of `limits` is set by the process.
+    agent_limits limits = make_agent_limits({}, {});
 };
 
 class agent_process
--- a/filbertroad/server/entry_core.cpp
+++ b/filbertroad/server/entry_core.cpp
@@ -1,5 +1,6 @@
 #include "filbertroad/server/entry_core.hpp"
 
+#include "filbertroad/limits/machine_limits.hpp"
 #include "filbertroad/wire/id_conversions.hpp"
 
 #include <algorithm>
@@ -28,10 +29,10 @@
     return self;
 }
 
-submission::owner_options make_owner_options(settings::entry_settings const& settings)
+submission::owner_options make_owner_options(entry_limits const& limits)
 {
     submission::owner_options options;
-    options.max_bytes = settings.max_held_bytes;
+    options.max_bytes = limits.max_held_bytes;
     return options;
 }
 
@@ -43,18 +44,22 @@
     : io(io), settings(settings), clock(clock), log(log),
       self_member(make_self_member(settings, clock)),
       self_id(wire::to_model(this->self_member.id())),
+      limit_reporter(clock, log, this->metric_registry),
+      limits_of_peers(make_entry_limits(settings, limits::open_descriptor_limit(),
+                                        this->limit_reporter.handler())),
       recorder(clock, spans, this->self_id.incarnation),
       control_log(io, settings.log_address, settings.log_stream),
       links(io, clock, this->self_member, this->make_link_callbacks()),
       peers(clock, [this](model::process_id const& peer, wire::link_message const& message)
             { return this->links.send_to_entry(peer, message); }),
-      local_shards(clock, this->self_id, make_owner_options(settings),
+      local_shards(clock, this->self_id, make_owner_options(this->limits_of_peers),
                    static_cast<std::uint32_t>(settings.max_queued_tasks),
                    this->make_shard_callbacks()),
       state_controller(io, clock, this->control_log, this->self_member, {},
                        this->make_control_callbacks()),
       job_router(io, clock, this->state_controller, this->local_shards, this->peers, this->self_id)
 {
+    this->links.set_limits(this->limits_of_peers.links);
 }
 
 base::result<void, base::error<net::net_error>> entry_core::listen()
--- a/filbertroad/server/entry_core.hpp
+++ b/filbertroad/server/entry_core.hpp
@@ -12,8 +12,10 @@
 /// Thread-safe after start().
 
 #include "filbertroad/base/clock.hpp"
+#include "filbertroad/limits/limit_reporter.hpp"
 #include "filbertroad/server/control_state_controller.hpp"
 #include "filbertroad/server/entry_links.hpp"
+#include "filbertroad/server/peer_limits.hpp"
 #include "filbertroad/server/peer_requests.hpp"
 #include "filbertroad/server/request_router.hpp"
 #include "filbertroad/server/shard_registry.hpp"
@@ -51,6 +53,7 @@
     [[nodiscard]] request_router& router() { return this->job_router; }
     [[nodiscard]] span_recorder& spans() { return this->recorder; }
     [[nodiscard]] telemetry::metrics_registry& metrics() { return this->metric_registry; }
+    [[nodiscard]] entry_limits const& peer_limits() const { return this->limits_of_peers; }
     [[nodiscard]] base::clock const& time() const { return this->clock; }
     [[nodiscard]] wire::member const& self() const { return this->self_member; }
 
@@ -99,6 +102,8 @@
     wire::member self_member;
     model::process_id self_id;
     telemetry::metrics_registry metric_registry;
+    limits::limit_reporter limit_reporter;
+    entry_limits limits_of_peers;
     span_recorder recorder;
     net::http_log_client control_log;
     entry_links links;
--- a/filbertroad/server/entry_links.cpp
+++ b/filbertroad/server/entry_links.cpp
@@ -18,7 +18,8 @@
 
 base::result<void, base::error<net::net_error>> entry_links::listen(std::string_view address)
 {
-    auto listening = net::link_server::listen(this->io, address, this->handlers(""));
+    auto listening =
+        net::link_server::listen(this->io, address, this->handlers(""), nullptr, this->limits);
     if (!listening)
     {
         return std::move(listening).error();
@@ -89,7 +90,7 @@
     }
     for (auto const& address : due)
     {
-        net::link::connect(this->io, address, this->handlers(address));
+        net::link::connect(this->io, address, this->handlers(address), nullptr, this->limits);
     }
 }
 
--- a/filbertroad/server/entry_links.hpp
+++ b/filbertroad/server/entry_links.hpp
@@ -73,6 +73,9 @@
     entry_links(boost::asio::io_context& io, base::clock const& clock, wire::member self,
                 entry_link_callbacks callbacks);
 
+    /// Sets the limits of the links that are opened or accepted later.
+    void set_limits(net::link_limits value) { this->limits = std::move(value); }
+
     /// Accepts links on `address` (IP:PORT).
     base::result<void, base::error<net::net_error>> listen(std::string_view address);
     /// Keeps links to the members that this entry has to connect to: of two entries, the one with
@@ -145,6 +148,7 @@
     base::clock const& clock;
     wire::member self;
     entry_link_callbacks callbacks;
+    net::link_limits limits;
     std::unique_ptr<net::link_server> server;
 
     mutable std::mutex lock;
--- a/filbertroad/server/entry_process.cpp
+++ b/filbertroad/server/entry_process.cpp
@@ -88,6 +88,10 @@
     boost::asio::steady_timer tick_timer;
     boost::asio::steady_timer shutdown_timer;
     entry_core core;
+    telemetry::gauge& connections = this->core.metrics().add_gauge(
+        "filbertroad_http_connections", "Connections of the server for callers.");
+    telemetry::gauge& buffered_bytes = this->core.metrics().add_gauge(
+        "filbertroad_http_buffered_bytes", "Bytes held for these connections.");
     entry_api_service service;
     api::http_api api_handler;
     std::unique_ptr<net::http_server> http_listener;
@@ -105,11 +109,8 @@
             {{"address", this->settings.listen_link}, {"reason", listening.error().detail}});
         return false;
     }
-    net::http_limits limits;
-    limits.max_body_bytes = this->settings.max_body_bytes;
-    limits.max_connections = this->settings.max_connections;
     auto server = net::http_server::listen(
-        this->io, this->settings.listen_http, limits,
+        this->io, this->settings.listen_http, this->core.peer_limits().http,
         [this](net::http_request request, net::http_responder respond)
         { this->api_handler.handle(std::move(request), std::move(respond)); });
     if (!server)
@@ -170,6 +171,9 @@
             if (!code)
             {
                 this->core.tick();
+                auto const usage = this->http_listener->usage();
+                this->connections.set(static_cast<double>(usage.connections));
+                this->buffered_bytes.set(static_cast<double>(usage.buffered_bytes));
                 this->schedule_tick();
             }
         });
--- a/filbertroad/settings/internal/schema.hpp
+++ b/filbertroad/settings/internal/schema.hpp
@@ -150,7 +150,23 @@
                         .unit = "bytes",
                         .bounds = {mib, 64 * gib},
                         .description = "Maximum total size of held task payloads and results; "
-                                       "beyond it, new jobs are rejected."},
+                                       "beyond it, new jobs are rejected. At most a quarter of "
+                                       "`limits.memory_mb`."},
+    row<entry_settings>{.key = "limits.memory_mb",
+                        .kind = value_kind::number,
+                        .member = &entry_settings::memory_mb,
+                        .unit = "MB",
+                        .bounds = {64, 1'000'000},
+                        .description = "Memory of the machine; the bytes that peers can make this "
+                                       "process hold follow it."},
+    row<entry_settings>{.key = "limits.file_descriptors",
+                        .kind = value_kind::number,
+                        .member = &entry_settings::file_descriptors,
+                        .unit = "descriptors",
+                        .bounds = {0, 10'000'000},
+                        .default_note = "the limit of the process",
+                        .description = "File descriptors of the machine; the number of "
+                                       "connections follows them."},
     row<entry_settings>{.key = "event_log",
                         .kind = value_kind::path,
                         .member = &entry_settings::event_log,
@@ -199,7 +215,15 @@
                         .member = &agent_settings::max_ledger_bytes,
                         .unit = "bytes",
                         .bounds = {64 * kib, 16 * gib},
-                        .description = "Maximum total size of the task results in the ledger."},
+                        .description = "Maximum total size of the task results in the ledger; at "
+                                       "most a quarter of `limits.memory_mb`."},
+    row<agent_settings>{.key = "limits.memory_mb",
+                        .kind = value_kind::number,
+                        .member = &agent_settings::memory_mb,
+                        .unit = "MB",
+                        .bounds = {64, 1'000'000},
+                        .description = "Memory of the machine; the bytes that peers can make this "
+                                       "process hold follow it."},
     row<agent_settings>{.key = "drain_time_ms",
                         .kind = value_kind::number,
                         .member = &agent_settings::drain_time,
--- a/filbertroad/settings/settings.hpp
+++ b/filbertroad/settings/settings.hpp
@@ -51,8 +51,12 @@
     std::uint64_t max_body_bytes = 16UL * 1024 * 1024;
     std::uint64_t max_connections = 10'000;
     std::uint64_t max_queued_tasks = 200'000;
-    /// Maximum total size of the task payloads and results held.
+    /// Maximum total size of the task payloads and results held; at most a quarter of the memory.
     std::uint64_t max_held_bytes = 128UL * 1024 * 1024;
+    /// Memory of the machine in MB.
+    std::uint64_t memory_mb = 1'024;
+    /// Limit for the file descriptors of the process; 0 stands for that of the operating system.
+    std::uint64_t file_descriptors = 0;
     /// Path of the event log; "-" denotes standard error.
     std::string event_log = "-";
     /// Path of the span file; "-" denotes standard error, empty disables spans.
@@ -70,6 +74,8 @@
     std::vector<std::string> entries;
     std::uint64_t max_ledger_entries = 200'000;
     std::uint64_t max_ledger_bytes = 64UL * 1024 * 1024;
+    /// Memory of the machine in MB; the ledger takes at most a quarter of it.
+    std::uint64_t memory_mb = 1'024;
     /// Longest time that a graceful shutdown waits for running tasks.
     std::chrono::milliseconds drain_time{60'000};
     std::string event_log = "-";
--- a/tests/local_system.py
+++ b/tests/local_system.py
@@ -98,10 +98,12 @@
 
 
 class LocalSystem:
-    def __init__(self, entries=3, targets=6, zones="a,b,c"):
+    def __init__(self, entries=3, targets=6, zones="a,b,c", memory_mb=None):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="filbertroad-test-"))
         self.arguments = ["--dir", self.folder, "--entries", entries, "--targets", targets,
                           "--zones", zones]
+        if memory_mb is not None:
+            self.arguments += ["--memory-mb", memory_mb]
         self.replacements = []
         self.processes = {}
 
