Test the total of tasks apart from the share of large jobs

job_limits_test.job_beyond_the_total_of_tasks_is_refused_as_not_run fills the total with jobs of 900 tasks, which since use three quarters of it only. It fails there. The test now sets large_job_tasks to the total, and keeps all of its checks; large_jobs_leave_room_for_small_ones tests the share.

--- a/filbertroad/dispatch/job_limits_test.cpp
+++ b/filbertroad/dispatch/job_limits_test.cpp
@@ -32,6 +32,7 @@
 {
     dispatch_limits limits;
     limits.max_tasks = 1'000;
+    limits.large_job_tasks = limits.max_tasks;
     job_dispatcher dispatcher(this->clock, limits);
     EXPECT_FALSE(submit_to(dispatcher, make_job("wide", 900)));
     auto const refused = submit_to(dispatcher, make_job("refused", 101));
