--- a/tests/bounded_processes.py
+++ b/tests/bounded_processes.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import random
 import resource
 import socket
 import struct
@@ -54,10 +55,13 @@
 
 
 def free_address():
-    """An address on loopback with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return "127.0.0.1:%d" % probe.getsockname()[1]
+    """An address on loopback with a port that is free now. It is below the range from which the
+    kernel takes the ports of outgoing connections, of which crowds open thousands."""
+    while True:
+        port = random.randint(10_000, 32_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return "127.0.0.1:%d" % port
 
 
 def split(address):
@@ -302,15 +306,17 @@
     ordinary_request = ("GET", "/p/")
 
     def __init__(self, store_address, max_connections=1000, descriptors=3075, extra_limits="",
-                 **options):
-        self.ready_address = free_address()
-        self.link_address = free_address()
-        address = free_address()
+                 name="entry-1", addresses=None, **options):
+        addresses = addresses or {kind: free_address() for kind in
+                                  ("http_address", "ready_address", "link_address")}
+        self.ready_address = addresses["ready_address"]
+        self.link_address = addresses["link_address"]
+        address = addresses["http_address"]
         settings = (
-            'role = "dispatch-entry"\nname = "entry-1"\nlisten_http = "%s"\nlisten_ready = "%s"\n'
+            'role = "dispatch-entry"\nname = "%s"\nlisten_http = "%s"\nlisten_ready = "%s"\n'
             'listen_link = "%s"\nseeds = []\n[store]\naddress = "%s"\n[limits]\n'
             "max_connections = %d\n%s%s"
-            % (address, self.ready_address, self.link_address, store_address, max_connections,
+            % (name, address, self.ready_address, self.link_address, store_address, max_connections,
                machine_limits(descriptors), extra_limits))
         super().__init__("dispatch-entry", settings, address, **options)
         self.job_number = 0
@@ -353,9 +359,9 @@
 
 
 class ExecutorProcess(ChildProcess):
-    def __init__(self, address, agent_address, capacity=64000):
+    def __init__(self, address, agent_address, capacity=64000, journal=None):
         super().__init__("executor_standin.py", address, agent_address, "--capacity",
-                         str(capacity))
+                         str(capacity), *(["--journal", str(journal)] if journal else []))
 
 
 class Crowd(ChildProcess):
@@ -383,8 +389,8 @@
     ordinary_request = ("GET", "/metrics")
 
     def __init__(self, store_address, target_address="127.0.0.1:1", seeds=(), descriptors=4096,
-                 name="agent-1", **options):
-        address = free_address()
+                 name="agent-1", address=None, **options):
+        address = address or free_address()
         settings = (
             'role = "dispatch-agent"\nname = "%s"\nzone = "z1"\nlisten = "%s"\n'
             'target_address = "%s"\nseeds = %s\n[store]\naddress = "%s"\n[limits]\n%s'
--- a/tests/executor_standin.py
+++ b/tests/executor_standin.py
@@ -1,10 +1,12 @@
 #!/usr/bin/env python3
 """Stand-in of an executor with its agent beside it, as a process of its own.
 
-    executor_standin.py LISTEN_ADDRESS AGENT_ADDRESS [--capacity CPU]
+    executor_standin.py LISTEN_ADDRESS AGENT_ADDRESS [--capacity CPU] [--journal FILE]
 
 It starts what it is told to, ends each run after the time that the task's text names ("run-ms=200",
-otherwise 20 ms), lists ends until they are acknowledged, and reports its status every 500 ms.
+otherwise 20 ms) or when its lease is over, lists ends until they are acknowledged, and reports its
+status every 500 ms. The journal has a line "SECONDS start|done|stopped|lapsed TASK RUN" for each
+start and end, by the monotonic clock of the machine.
 """
 
 import argparse
@@ -16,52 +18,100 @@
 
 DEFAULT_RUN_MS = 20
 REPORT_SECONDS = 0.5
+MAX_LEASE_MS = 1000
 
 
 class Executor:
-    def __init__(self, capacity):
+    def __init__(self, capacity, journal):
         self.capacity = capacity
+        self.journal = journal
         self.born = int(time.time() * 1000)
         self.running = {}
         self.finished = []
         self.last_number = 0
+        self.last_runs = {}
+        self.fencing_token = 0
+        self.lease_end = 0
         self.changed = asyncio.Event()
 
     def clock_ms(self):
         return int(time.monotonic() * 1000)
 
+    def record(self, what, task, run):
+        if self.journal:
+            self.journal.write("%.6f %s %s %d\n" % (time.monotonic(), what, task, run))
+            self.journal.flush()
+
     def end(self, task, how):
         entry = self.running.pop(task, None)
         if entry is None:
             return
         run, timer = entry
         timer.cancel()
+        self.record(how, task, run)
         self.last_number += 1
         self.finished.append([self.last_number, task, run, how, ""])
         self.changed.set()
 
+    def renew(self, body):
+        """Extends the lease of everything that runs, at most to MAX_LEASE_MS from now."""
+        if "deadline-ms" in body:
+            end = min(body["deadline-ms"], self.clock_ms() + MAX_LEASE_MS)
+            self.lease_end = max(self.lease_end, end)
+
+    def refusal(self, body):
+        """Why a call has no effect; None if it has one."""
+        if body["fencing-token"] < self.fencing_token:
+            return "fence"
+        self.fencing_token = body["fencing-token"]
+        return None
+
     def start(self, body):
-        task = body["task"]
+        task, run = body["task"], body["run"]
+        self.renew(body)
+        reason = self.refusal(body)
+        if not reason and task not in self.running and run <= self.last_runs.get(task, 0):
+            reason = "old"
+        if not reason and self.lease_end <= self.clock_ms():
+            reason = "late"
+        if reason:
+            return 409, {"clock-ms": self.clock_ms(), "reason": reason}
         if task not in self.running:
             match = re.search(r"run-ms=(\d+)", body["task-spec"])
             seconds = int(match.group(1) if match else DEFAULT_RUN_MS) / 1000
             timer = asyncio.get_running_loop().call_later(seconds, self.end, task, "done")
-            self.running[task] = (body["run"], timer)
-        return {"clock-ms": self.clock_ms()}
+            self.running[task] = (run, timer)
+            self.last_runs[task] = run
+            self.record("start", task, run)
+        return 200, {"clock-ms": self.clock_ms()}
 
     def stop(self, body):
-        self.end(body["task"], "stopped")
-        return {"clock-ms": self.clock_ms()}
+        if reason := self.refusal(body):
+            return 409, {"clock-ms": self.clock_ms(), "reason": reason}
+        task = body["task"]
+        self.last_runs[task] = max(self.last_runs.get(task, 0), body["run"])
+        self.end(task, "stopped")
+        return 200, {"clock-ms": self.clock_ms()}
 
     async def hold(self, body):
+        if reason := self.refusal(body):
+            return 409, {"clock-ms": self.clock_ms(), "reason": reason}
+        self.renew(body)
         self.finished = [end for end in self.finished if end[0] > body["last-seen"]]
         if not self.finished and body.get("wait-ms"):
             self.changed.clear()
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), body["wait-ms"] / 1000)
         running = [[task, run, "", 100] for task, (run, _) in self.running.items()]
-        return {"clock-ms": self.clock_ms(), "born": self.born, "running": running,
-                "finished": self.finished[:500]}
+        return 200, {"clock-ms": self.clock_ms(), "born": self.born, "running": running,
+                     "finished": self.finished[:500]}
+
+    async def expire(self):
+        while True:
+            await asyncio.sleep(0.005)
+            if self.running and self.clock_ms() >= self.lease_end:
+                for task in list(self.running):
+                    self.end(task, "lapsed")
 
     async def answer(self, path, body):
         if path.endswith("run-start"):
@@ -70,17 +120,18 @@
             return self.stop(body)
         if path.endswith("hold"):
             return await self.hold(body)
-        return {}
+        return 200, {}
 
     async def serve(self, reader, writer):
         with contextlib.suppress(OSError, asyncio.IncompleteReadError), contextlib.closing(writer):
             while head := await reader.readuntil(b"\r\n\r\n"):
                 length = re.search(rb"content-length: *(\d+)", head, re.IGNORECASE)
                 body = await reader.readexactly(int(length.group(1)) if length else 0)
-                answer = json.dumps(await self.answer(head.split(b" ")[1].decode(),
-                                                      json.loads(body or b"{}"))).encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                             b"Content-Length: %d\r\n\r\n" % len(answer) + answer)
+                status, answer = await self.answer(head.split(b" ")[1].decode(),
+                                                   json.loads(body or b"{}"))
+                answer = json.dumps(answer).encode()
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+                             b"Content-Length: %d\r\n\r\n" % (status, len(answer)) + answer)
                 await writer.drain()
 
     async def report(self, agent, own_address):
@@ -111,10 +162,11 @@
     parser.add_argument("listen", type=split)
     parser.add_argument("agent", type=split)
     parser.add_argument("--capacity", type=int, default=64000)
+    parser.add_argument("--journal", type=lambda path: open(path, "a"))
     options = parser.parse_args()
-    executor = Executor(options.capacity)
+    executor = Executor(options.capacity, options.journal)
     await asyncio.start_server(executor.serve, *options.listen)
-    await executor.report(options.agent, "%s:%d" % options.listen)
+    await asyncio.gather(executor.expire(), executor.report(options.agent, "%s:%d" % options.listen))
 
 
 if __name__ == "__main__":
