--- a/filbertroad/telemetry/bounded_event_log.hpp
+++ b/filbertroad/telemetry/bounded_event_log.hpp
@@ -41,7 +41,7 @@
     static constexpr std::chrono::milliseconds max_hold_time{200};
 
     /// Requests of one reason that are written in a second although they were dropped.
-    static constexpr std::size_t max_dropped_requests = 20;
+    static constexpr std::size_t max_dropped_requests = 100;
 
     /// Bytes written in a second; further lines are dropped.
     static constexpr std::size_t max_bytes_per_second = 2UL * 1024 * 1024;
