--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -12,6 +12,7 @@
 import asyncio
 import base64
 import contextlib
+import ctypes
 import json
 import os
 import pathlib
@@ -302,6 +303,12 @@
         writer.close()
 
 
+def end_with_parent():
+    """Lets the kernel kill this process when the stand-in ends, also if that is killed."""
+    pr_set_pdeathsig = 1
+    ctypes.CDLL(None).prctl(pr_set_pdeathsig, signal.SIGKILL)
+
+
 class Process:
     """A program of the deploy file, with its settings."""
 
@@ -315,7 +322,8 @@
     async def start(self):
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                *self.command, str(self.path), cwd=ROOT, stdout=log, stderr=log)
+                *self.command, str(self.path), cwd=ROOT, stdout=log, stderr=log,
+                preexec_fn=end_with_parent)
 
     def signal(self, number):
         self.process.send_signal(number)
