--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -6,7 +6,7 @@
 settings of deploy/entry.toml and deploy/agent.toml filled in.
 
     async with Deployment(entries=2, executors=2) as fleet:
-        status, body = await fleet.client("e1").post(job_id, job)
+        status, body = await fleet.call("e1", "POST", job_id, job([1], run_ms=900))
 """
 
 import asyncio
