Show the delay of the event loop and the exchange of configurations

The log and the metrics could not tell the hypotheses of docs/incidents/change-in-force-late.md apart: that a change cost an entry its processor time or its link left no trace. Entries and agents now export how late their timers run, how many configurations they send and receive, and for how long they have known of a newer one; control_applied has behind_ms, and event_loop_delayed is written at most once a second.

--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -3,7 +3,9 @@
 #include "filbertroad/dispatch/control_snapshot.hpp"
 #include "filbertroad/dispatch/status_pacing.hpp"
 #include "filbertroad/node/frame.hpp"
+#include "filbertroad/node/internal/control_metrics.hpp"
 #include "filbertroad/node/internal/entry_connections.hpp"
+#include "filbertroad/node/internal/loop_delay_monitor.hpp"
 #include "filbertroad/node/internal/renewal_loop.hpp"
 #include "filbertroad/node/internal/usable_address.hpp"
 
@@ -50,7 +52,8 @@
           tick_timer(io), status_timer(io),
           runs_ended(metrics.add_counter("filbertroad_runs_ended_total", "Runs that ended.")),
           run_time(metrics.add_histogram("filbertroad_run_seconds",
-                                         "Time from the start of a run to its end."))
+                                         "Time from the start of a run to its end.")),
+          control_metrics(metrics), loop_delay(metrics, log)
     {
         for (auto const& seed : seeds)
         {
@@ -129,11 +132,13 @@
     void schedule_tick()
     {
         this->tick_timer.expires_after(tick_period);
+        this->loop_delay.scheduled(this->clock.steady_now() + tick_period);
         this->tick_timer.async_wait(
             [this](boost::system::error_code code)
             {
                 if (!code)
                 {
+                    this->loop_delay.ran(this->clock.steady_now());
                     this->schedule_tick();
                     this->tick();
                 }
@@ -201,6 +206,9 @@
         if (content.heartbeat)
         {
             this->agent.entry_heartbeat_received(entry.name, content.heartbeat->echoed_stamp_ms);
+            this->control_metrics.peer_announced(content.heartbeat->snapshot_offset,
+                                                 this->control_state.current().offset,
+                                                 entry.last_received);
             this->send_snapshot_if_stale(entry, content.heartbeat->snapshot_offset);
         }
         for (auto& order : content.starts)
@@ -227,17 +235,21 @@
 
     void apply_snapshot(dispatch::control_snapshot snapshot, std::string_view source)
     {
-        if (!this->control_state.update_if_newer(std::move(snapshot)))
+        bool const is_newer = this->control_state.update_if_newer(std::move(snapshot));
+        this->control_metrics.snapshot_received(is_newer);
+        if (!is_newer)
         {
             return;
         }
         auto const& current = this->control_state.current();
+        auto const behind = this->control_metrics.applied(current, this->clock.steady_now());
         bool const is_zone_out = current.zones_out.contains(this->zone);
         this->log.write(events::control_applied,
                         {{"offset", std::to_string(current.offset)},
                          {"version", std::to_string(current.version)},
                          {"zone_in_service", is_zone_out ? "false" : "true"},
-                         {"source", std::string(source)}});
+                         {"source", std::string(source)},
+                         {"behind_ms", std::to_string(behind.count())}});
         this->agent.set_zone_out_of_service(is_zone_out);
     }
 
@@ -249,6 +261,7 @@
             entry.sent_snapshot_offset = current.offset;
             frame out;
             out.snapshot = current;
+            this->control_metrics.snapshot_sent();
             entry.link->send(encode_frame(out, entry.protocol));
         }
     }
@@ -427,6 +440,8 @@
     std::function<void()> on_stopped;
     telemetry::counter& runs_ended;
     telemetry::histogram& run_time;
+    internal::control_metrics control_metrics;
+    internal::loop_delay_monitor loop_delay;
 };
 
 } // namespace
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -4,7 +4,9 @@
 #include "filbertroad/node/frame.hpp"
 #include "filbertroad/node/internal/admission_metrics.hpp"
 #include "filbertroad/node/internal/cancel_exchange.hpp"
+#include "filbertroad/node/internal/control_metrics.hpp"
 #include "filbertroad/node/internal/job_metrics.hpp"
+#include "filbertroad/node/internal/loop_delay_monitor.hpp"
 #include "filbertroad/node/internal/usable_address.hpp"
 
 #include <algorithm>
@@ -45,6 +47,9 @@
 /// Reason of an answer to a caller with a long time budget.
 constexpr std::string_view too_many_callers = "too many callers wait for long jobs";
 
+/// Source of snapshots that were not received from a peer.
+constexpr std::string_view platform_source = "platform";
+
 struct agent_link
 {
     std::shared_ptr<net::link> link;
@@ -78,7 +83,7 @@
                   {.make_hello = [this] { return this->make_hello(); },
                    .on_hello = [this](frame& content) { this->learn(content); },
                    .cancel_here = [this](std::string const& key) { return this->cancel(key); }}),
-          admission_metrics(metrics, log)
+          admission_metrics(metrics, log), control_metrics(metrics), loop_delay(metrics, log)
     {
     }
 
@@ -213,7 +218,7 @@
 
     void offer_snapshot(dispatch::control_snapshot snapshot) override
     {
-        this->apply_snapshot(std::move(snapshot), "platform");
+        this->apply_snapshot(std::move(snapshot), platform_source);
     }
 
     void add_entry(dispatch::entry_address const& entry) override
@@ -365,6 +370,7 @@
         state.last_received = this->clock.steady_now();
         this->urgent_frame(state) = this->make_hello();
         state.sent_snapshot_offset = this->control_state.current().offset;
+        this->control_metrics.snapshot_sent();
         this->agent_by_link[link->number()] = agent.name;
         this->cancels.agent_lost(agent.name);
         this->dispatcher.agent_connected(agent);
@@ -410,6 +416,9 @@
             state.newest_status_stamp_ms = content.status->stamp_ms;
             this->dispatcher.status_received(agent, *content.status);
             this->send_heartbeat_if_due(state);
+            this->control_metrics.peer_announced(content.status->snapshot_offset,
+                                                 this->control_state.current().offset,
+                                                 state.last_received);
             this->send_snapshot_if_stale(state, content.status->snapshot_offset);
         }
         if (content.linked_entries)
@@ -465,21 +474,29 @@
         {
             state.sent_snapshot_offset = current.offset;
             this->urgent_frame(state).snapshot = current;
+            this->control_metrics.snapshot_sent();
         }
     }
 
     void apply_snapshot(dispatch::control_snapshot snapshot, std::string_view source)
     {
-        if (!this->control_state.update_if_newer(std::move(snapshot)))
+        bool const is_newer = this->control_state.update_if_newer(std::move(snapshot));
+        if (source != platform_source)
+        {
+            this->control_metrics.snapshot_received(is_newer);
+        }
+        if (!is_newer)
         {
             return;
         }
         auto const& current = this->control_state.current();
+        auto const behind = this->control_metrics.applied(current, this->clock.steady_now());
         this->log.write(events::control_applied,
                         {{"offset", std::to_string(current.offset)},
                          {"version", std::to_string(current.version)},
                          {"zones_out", std::to_string(current.zones_out.size())},
-                         {"source", std::string(source)}});
+                         {"source", std::string(source)},
+                         {"behind_ms", std::to_string(behind.count())}});
         for (auto& [name, agent] : this->agents)
         {
             this->send_snapshot_if_stale(agent, 0);
@@ -520,11 +537,13 @@
     void schedule_tick()
     {
         this->tick_timer.expires_after(tick_period);
+        this->loop_delay.scheduled(this->clock.steady_now() + tick_period);
         this->tick_timer.async_wait(
             [this](boost::system::error_code code)
             {
                 if (!code)
                 {
+                    this->loop_delay.ran(this->clock.steady_now());
                     this->schedule_tick();
                     this->tick();
                 }
@@ -764,6 +783,8 @@
     internal::job_metrics job_metrics;
     internal::cancel_exchange cancels;
     internal::admission_metrics admission_metrics;
+    internal::control_metrics control_metrics;
+    internal::loop_delay_monitor loop_delay;
 };
 
 } // namespace
--- a/filbertroad/telemetry/events.hpp
+++ b/filbertroad/telemetry/events.hpp
@@ -54,6 +54,10 @@
 inline constexpr event_definition handler_failed{
     1007, severity::error, "handler_failed",
     "A handler of an event ended with an exception; the process goes on."};
+inline constexpr event_definition event_loop_delayed{
+    1008, severity::warning, "event_loop_delayed",
+    "A periodic timer ran late by `delay_ms`, since the process lacks processor time; at most one "
+    "line a second."};
 
 inline constexpr event_definition log_unreachable{
     2001, severity::error, "log_unreachable",
@@ -97,7 +101,8 @@
     "A target was taken out of service or returned to service."};
 inline constexpr event_definition control_applied{
     3009, severity::info, "control_applied",
-    "A newer snapshot of routes and zones has taken effect; `source` names its origin."};
+    "A newer snapshot of routes and zones has taken effect; `source` names its origin, `behind_ms` "
+    "is the time since a peer first had a newer one than this process."};
 inline constexpr event_definition entry_known{3010, severity::info, "entry_known",
                                               "An entry was discovered; agents link to it."};
 
@@ -214,6 +219,7 @@
     events::address_unusable,
     events::settings_reloaded,
     events::handler_failed,
+    events::event_loop_delayed,
     events::log_unreachable,
     events::log_readable,
     events::confirmation_lost,
