Send configurations on request, to one peer at a time

What callers saw: after a series of changes, small entries used an old configuration for seconds and refused or lost jobs.

Cause: every entry pushed each version whole to each of its agents, every agent pushed it to each entry that lagged, and each hello carried it. One change cost entries x agents x size, at whatever rate changes came. An entry with 0.09 of a core spent its time on sending, then did not answer within the 400 ms and 1.5 s after which its agents and its own reads give up, so that both ways by which it learns of changes ended at once, and each new link brought the configuration again.

Peers of earlier protocol versions are served as before.

--- a/filbertroad/node/agent_node.cpp
+++ b/filbertroad/node/agent_node.cpp
@@ -1,6 +1,7 @@
 #include "filbertroad/node/agent_node.hpp"
 
 #include "filbertroad/dispatch/control_snapshot.hpp"
+#include "filbertroad/dispatch/snapshot_fetcher.hpp"
 #include "filbertroad/dispatch/status_pacing.hpp"
 #include "filbertroad/node/frame.hpp"
 #include "filbertroad/node/internal/control_metrics.hpp"
@@ -30,6 +31,9 @@
 /// that the loss of one does not end the lease.
 constexpr milliseconds max_status_interval{150};
 
+/// Time for which more entries may announce a change before the agent asks one of them.
+constexpr milliseconds snapshot_grace{50};
+
 class agent_node_impl final : public agent_node
 {
 public:
@@ -40,7 +44,7 @@
                     net::link_limits link_limits)
         : io(io), clock(clock), log(log), zone(zone),
           incarnation(base::to_unix_ms(clock.system_now())), target(target),
-          agent(clock, std::move(zone), limits, incarnation),
+          agent(clock, std::move(zone), limits, incarnation), snapshots(name, snapshot_grace),
           connections(io, clock, log, {std::move(name), incarnation}, max_entry_links,
                       std::move(link_limits), this->make_connection_handlers()),
           renewals(io, agent, target,
@@ -152,6 +156,7 @@
         // process have ended. The agent therefore connects only once they have.
         this->connections.tick(this->agent.is_recovered());
         auto const now = this->clock.steady_now();
+        this->request_snapshot(now);
         this->connections.for_each_linked(
             [&](entry_link& entry)
             {
@@ -181,6 +186,7 @@
                     this->process_frame(entry, content);
                     this->schedule_flush();
                 },
+                .on_lost = [this](std::string const& entry) { this->snapshots.peer_lost(entry); },
                 .is_in_use = [this](std::string const& entry)
                 { return this->agent.has_work_for(entry); },
                 .on_release_changed = [this](entry_link& entry) { this->send_status(entry); }};
@@ -190,8 +196,13 @@
     {
         if (content.snapshot)
         {
+            this->snapshots.received(entry.name);
             this->apply_snapshot(std::move(*content.snapshot), entry.name);
         }
+        if (content.wants_snapshot)
+        {
+            this->send_snapshot_if_stale(entry, 0);
+        }
         for (auto const& known_entry : content.entries)
         {
             this->add_entry(known_entry);
@@ -209,7 +220,7 @@
             this->control_metrics.peer_announced(content.heartbeat->snapshot_offset,
                                                  this->control_state.current().offset,
                                                  entry.last_received);
-            this->send_snapshot_if_stale(entry, content.heartbeat->snapshot_offset);
+            this->snapshot_announced(entry, content.heartbeat->snapshot_offset);
         }
         for (auto& order : content.starts)
         {
@@ -253,6 +264,30 @@
         this->agent.set_zone_out_of_service(is_zone_out);
     }
 
+    /// An entry has a snapshot of `offset`. It asks for a newer one by itself, unless it is of an
+    /// earlier version.
+    void snapshot_announced(entry_link& entry, std::uint64_t offset)
+    {
+        if (entry.protocol < snapshot_request_protocol)
+        {
+            this->send_snapshot_if_stale(entry, offset);
+            return;
+        }
+        this->snapshots.peer_announced(entry.name, offset);
+    }
+
+    void request_snapshot(base::steady_time now)
+    {
+        auto const peer = this->snapshots.next_request(this->control_state.current().offset, now);
+        auto* const entry = peer ? this->connections.find(*peer) : nullptr;
+        if (entry != nullptr)
+        {
+            frame out;
+            out.wants_snapshot = true;
+            entry->link->send(encode_frame(out, entry->protocol));
+        }
+    }
+
     void send_snapshot_if_stale(entry_link& entry, std::uint64_t offset)
     {
         auto const& current = this->control_state.current();
@@ -421,6 +456,7 @@
     std::uint64_t incarnation;
     target_client& target;
     dispatch::run_agent agent;
+    dispatch::snapshot_fetcher snapshots;
     internal::entry_connections connections;
     internal::renewal_loop renewals;
     dispatch::control_snapshot_store control_state;
--- a/filbertroad/node/entry_node.cpp
+++ b/filbertroad/node/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "filbertroad/node/entry_node.hpp"
 
+#include "filbertroad/dispatch/snapshot_fetcher.hpp"
 #include "filbertroad/net/link.hpp"
 #include "filbertroad/node/frame.hpp"
 #include "filbertroad/node/internal/admission_metrics.hpp"
@@ -41,6 +42,10 @@
 /// Time between two hellos to the seeds, sent until one of them has responded.
 constexpr milliseconds hello_interval{1'000};
 
+/// Time for which this entry waits to read a change from the platform, like its peers, before it
+/// asks one of them.
+constexpr milliseconds snapshot_grace{150};
+
 /// Longest IP:PORT.
 constexpr std::size_t max_address_bytes = 64;
 
@@ -83,7 +88,8 @@
                   {.make_hello = [this] { return this->make_hello(); },
                    .on_hello = [this](frame& content) { this->learn(content); },
                    .cancel_here = [this](std::string const& key) { return this->cancel(key); }}),
-          admission_metrics(metrics, log), control_metrics(metrics), loop_delay(metrics, log)
+          admission_metrics(metrics, log), control_metrics(metrics), loop_delay(metrics, log),
+          snapshots(this->identity.name, snapshot_grace)
     {
     }
 
@@ -368,9 +374,13 @@
         state.link = link;
         state.protocol = protocol;
         state.last_received = this->clock.steady_now();
-        this->urgent_frame(state) = this->make_hello();
-        state.sent_snapshot_offset = this->control_state.current().offset;
-        this->control_metrics.snapshot_sent();
+        auto hello = this->make_hello();
+        hello.snapshot.reset();
+        this->urgent_frame(state) = std::move(hello);
+        if (protocol < snapshot_request_protocol)
+        {
+            this->send_snapshot_if_stale(state, 0);
+        }
         this->agent_by_link[link->number()] = agent.name;
         this->cancels.agent_lost(agent.name);
         this->dispatcher.agent_connected(agent);
@@ -419,7 +429,11 @@
             this->control_metrics.peer_announced(content.status->snapshot_offset,
                                                  this->control_state.current().offset,
                                                  state.last_received);
-            this->send_snapshot_if_stale(state, content.status->snapshot_offset);
+            this->snapshot_announced(agent, state, content.status->snapshot_offset);
+        }
+        if (content.wants_snapshot)
+        {
+            this->send_snapshot_if_stale(state, 0);
         }
         if (content.linked_entries)
         {
@@ -431,6 +445,7 @@
         }
         if (content.snapshot)
         {
+            this->snapshots.received(agent);
             this->apply_snapshot(std::move(*content.snapshot), agent);
         }
         this->add_entries(content.entries);
@@ -467,6 +482,27 @@
         }
     }
 
+    /// An agent has a snapshot of `offset`. It asks for a newer one by itself, unless it is of an
+    /// earlier version.
+    void snapshot_announced(std::string const& agent, agent_link& state, std::uint64_t offset)
+    {
+        if (state.protocol < snapshot_request_protocol)
+        {
+            this->send_snapshot_if_stale(state, offset);
+            return;
+        }
+        this->snapshots.peer_announced(agent, offset);
+    }
+
+    void request_snapshot(base::steady_time now)
+    {
+        auto const peer = this->snapshots.next_request(this->control_state.current().offset, now);
+        if (peer)
+        {
+            this->urgent_frame(this->agents[*peer]).wants_snapshot = true;
+        }
+    }
+
     void send_snapshot_if_stale(agent_link& state, std::uint64_t offset)
     {
         auto const& current = this->control_state.current();
@@ -499,7 +535,10 @@
                          {"behind_ms", std::to_string(behind.count())}});
         for (auto& [name, agent] : this->agents)
         {
-            this->send_snapshot_if_stale(agent, 0);
+            if (agent.protocol < snapshot_request_protocol)
+            {
+                this->send_snapshot_if_stale(agent, 0);
+            }
         }
         this->schedule_flush();
     }
@@ -529,6 +568,7 @@
             state.link = nullptr;
         }
         this->dispatcher.agent_disconnected(agent);
+        this->snapshots.peer_lost(agent);
         this->cancels.agent_lost(agent);
         this->log.write(events::agent_lost, {{"agent", agent}, {"reason", std::string(reason)}});
         this->schedule_flush();
@@ -562,6 +602,7 @@
         }
         this->dispatcher.tick();
         this->cancels.tick();
+        this->request_snapshot(now);
         this->admission_metrics.update(this->dispatcher.admissions(), now);
         this->execute_actions();
         this->send_pending(true);
@@ -785,6 +826,7 @@
     internal::admission_metrics admission_metrics;
     internal::control_metrics control_metrics;
     internal::loop_delay_monitor loop_delay;
+    dispatch::snapshot_fetcher snapshots;
 };
 
 } // namespace
--- a/filbertroad/node/frame.cpp
+++ b/filbertroad/node/frame.cpp
@@ -444,6 +444,7 @@
     {
         write(*content.snapshot, *out.mutable_snapshot());
     }
+    out.set_wants_snapshot(content.wants_snapshot);
     for (auto const& entry : content.entries)
     {
         auto& added = *out.add_entries();
@@ -498,6 +499,7 @@
     {
         out.snapshot = read(in.snapshot());
     }
+    out.wants_snapshot = in.wants_snapshot();
     for (auto const& entry : in.entries())
     {
         out.entries.push_back({entry.name(), entry.link()});
--- a/filbertroad/node/frame.hpp
+++ b/filbertroad/node/frame.hpp
@@ -21,8 +21,11 @@
 
 /// Version of the link protocol of this program, sent in the first frame of a link. Version 1 adds
 /// orders that share a payload and statuses without details; version 2, resumed orders that share
-/// one.
-inline constexpr std::uint32_t protocol_version = 2;
+/// one; version 3, requests for snapshots.
+inline constexpr std::uint32_t protocol_version = 3;
+
+/// Peers of earlier versions do not ask for snapshots, and get each one unasked.
+inline constexpr std::uint32_t snapshot_request_protocol = 3;
 
 struct frame
 {
@@ -43,6 +46,8 @@
     std::optional<dispatch::entry_heartbeat> heartbeat;
     std::vector<dispatch::run_report> reports;
     std::optional<dispatch::control_snapshot> snapshot;
+    /// The receiver is to send its snapshot.
+    bool wants_snapshot = false;
     std::vector<dispatch::entry_address> entries;
     std::vector<dispatch::cancel_query> cancel_queries;
     std::vector<dispatch::cancel_reply> cancel_replies;
--- a/filbertroad/node/internal/entry_connections.cpp
+++ b/filbertroad/node/internal/entry_connections.cpp
@@ -216,6 +216,7 @@
         node.mapped().link->close();
         ++this->link_changes;
         this->selection.released(address);
+        this->callbacks.on_lost(node.mapped().name);
         this->log.write(events::entry_released, {{"entry", node.mapped().name}});
     }
 }
@@ -228,6 +229,7 @@
     if (!entry.name.empty())
     {
         ++this->link_changes;
+        this->callbacks.on_lost(entry.name);
         this->log.write(events::entry_lost,
                         {{"entry", entry.name}, {"reason", std::string(reason)}});
     }
--- a/filbertroad/node/internal/entry_connections.hpp
+++ b/filbertroad/node/internal/entry_connections.hpp
@@ -60,6 +60,8 @@
         std::function<void(entry_link&, dispatch::process_id const&)> on_linked;
         /// A frame of a linked entry has arrived, also the one with its hello.
         std::function<void(entry_link&, frame&)> on_frame;
+        /// The link to the entry of this name is down.
+        std::function<void(std::string const&)> on_lost;
         /// Whether the agent has a run or an unacknowledged report for the entry of this name.
         std::function<bool(std::string const&)> is_in_use;
         /// The link stops or begins again to accept runs.
