Test configurations beside processes of an earlier protocol version

Three tests guard the mixed fleet of a rolling upgrade: each side sends them unasked to the other, and an agent asks an entry that announces one.

--- a/filbertroad/node/agent_node_test.cpp
+++ b/filbertroad/node/agent_node_test.cpp
@@ -6,6 +6,7 @@
 #include "filbertroad/node/frame.hpp"
 
 #include <gtest/gtest.h>
+#include <optional>
 
 namespace filbertroad::node
 {
@@ -64,6 +65,12 @@
     bool echoes_stamps = true;
     std::uint64_t newest_stamp_ms = 0;
     std::vector<dispatch::run_report> reports;
+    /// Version of the link protocol in the hello of the entry.
+    std::uint32_t entry_protocol = protocol_version;
+    /// Offset of the configuration of the entry, in its heartbeats.
+    std::uint64_t announced_offset = 0;
+    std::optional<dispatch::control_snapshot> snapshot;
+    bool wants_snapshot = false;
     std::unique_ptr<net::link_server> listener = std::move(
         net::link_server::listen(this->io, "127.0.0.1:0",
                                  {.on_open = [](std::shared_ptr<net::link> const&) {},
@@ -90,11 +97,22 @@
         {
             this->is_accepting = content->status->accepting;
             this->newest_stamp_ms = content->status->stamp_ms;
-            answer.heartbeat =
-                dispatch::entry_heartbeat{this->echoes_stamps ? this->newest_stamp_ms : 0, 0};
+            answer.heartbeat = dispatch::entry_heartbeat{
+                this->echoes_stamps ? this->newest_stamp_ms : 0, this->announced_offset};
         }
         this->reports.insert(this->reports.end(), content->reports.begin(), content->reports.end());
-        link->send(encode_frame(answer, protocol_version));
+        this->wants_snapshot = this->wants_snapshot || content->wants_snapshot;
+        if (content->snapshot)
+        {
+            this->snapshot = content->snapshot;
+        }
+        auto answer_message = encode_frame(answer, protocol_version);
+        if (answer.sender_entry)
+        {
+            answer_message.mutable_dispatch()->mutable_entry()->set_protocol_version(
+                this->entry_protocol);
+        }
+        link->send(answer_message);
     }
 };
 
@@ -174,5 +192,28 @@
     EXPECT_EQ(this->reports[0].end, dispatch::run_end::not_started);
 }
 
+// Guards against entries of an earlier version that keep an old configuration while the fleet is
+// upgraded: they do not ask for a newer one.
+TEST_F(agent_node_test, entry_of_an_earlier_version_gets_a_newer_configuration_unasked)
+{
+    this->entry_protocol = snapshot_request_protocol - 1;
+    this->entry_link->close();
+    ASSERT_TRUE(net::internal::run_until(this->io, [this, old_link = this->entry_link]
+                                         { return this->entry_link != old_link; }));
+    frame content;
+    content.snapshot = {.offset = 5, .version = 5, .routes = {}, .zones_out = {}};
+    this->send(content);
+    EXPECT_TRUE(net::internal::run_until(this->io, [this] { return this->snapshot.has_value(); }));
+    EXPECT_FALSE(this->wants_snapshot);
+}
+
+// Guards against an agent that keeps an old configuration beside entries that wait for requests.
+TEST_F(agent_node_test, agent_asks_for_a_configuration_that_an_entry_announces)
+{
+    EXPECT_FALSE(this->wants_snapshot);
+    this->announced_offset = 5;
+    EXPECT_TRUE(net::internal::run_until(this->io, [this] { return this->wants_snapshot; }));
+}
+
 } // namespace
 } // namespace filbertroad::node
--- a/filbertroad/node/control_propagation_test.cpp
+++ b/filbertroad/node/control_propagation_test.cpp
@@ -3,6 +3,7 @@
 #include "filbertroad/node/agent_node.hpp"
 #include "filbertroad/node/entry_node.hpp"
 #include "filbertroad/node/fake_target.hpp"
+#include "filbertroad/node/frame.hpp"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -52,6 +53,7 @@
                              .build(this->io, this->clock, this->log, added.metrics);
             ASSERT_TRUE(added.node->open());
         }
+        this->address_of_first_entry = addresses.front();
         for (std::size_t i = 0; i < agent_count; ++i)
         {
             auto& added = *this->agents.emplace_back(std::make_unique<agent_process>(this->io));
@@ -156,6 +158,7 @@
     telemetry::null_event_log log;
     std::vector<std::unique_ptr<entry_process>> entries;
     std::vector<std::unique_ptr<agent_process>> agents;
+    std::string address_of_first_entry;
 
 private:
     /// An address at which nothing listens now.
@@ -232,5 +235,37 @@
     ASSERT_TRUE(this->wait_for_all(1 + 2 * changes));
 }
 
+// Guards against agents of an earlier version that keep an old configuration while the fleet is
+// upgraded: they do not ask for a newer one.
+TEST_F(control_propagation_test, agent_of_an_earlier_version_gets_each_configuration_unasked)
+{
+    this->start(1, 1);
+    std::uint64_t newest_offset = 0;
+    auto const old_agent = net::link::connect(
+        this->io, this->address_of_first_entry,
+        {.on_open =
+             [](std::shared_ptr<net::link> const& link)
+         {
+             frame hello;
+             hello.sender_agent = dispatch::process_id{"old-agent", 1};
+             auto message = encode_frame(hello);
+             message.mutable_dispatch()->mutable_agent()->set_protocol_version(
+                 snapshot_request_protocol - 1);
+             link->send(message);
+         },
+         .on_message =
+             [&](std::shared_ptr<net::link> const& /*link*/, wire::link_message const& message)
+         {
+             auto const content = decode_frame(message);
+             newest_offset =
+                 content && content->snapshot ? content->snapshot->offset : newest_offset;
+         },
+         .on_closed = [](std::shared_ptr<net::link> const&,
+                         base::error<net::net_error> const&) {}});
+    EXPECT_TRUE(net::internal::run_until(this->io, [&] { return newest_offset == 1; }));
+    this->offer_to_all(2);
+    EXPECT_TRUE(net::internal::run_until(this->io, [&] { return newest_offset == 2; }));
+}
+
 } // namespace
 } // namespace filbertroad::node
