Soak: change the configuration singly and in series, and ask entries in touch for it

The store of the soak never changed its configuration, so that no run could show one that is in force late. An operator now adds and removes routes beside the faults; 3 s after a change each entry that was undisturbed for 4 s has to answer by it.

--- a/tests/bounded_processes.py
+++ b/tests/bounded_processes.py
@@ -7,6 +7,7 @@
 """
 
 import base64
+import collections
 import contextlib
 import http.client
 import http.server
@@ -74,6 +75,9 @@
 
     def __init__(self):
         self.records = {"keyed.op": {"config": json.dumps(CONFIGURATION).encode()}}
+        # Records that were put after the start: offset, key and value, by topic.
+        self.appended = collections.defaultdict(list)
+        self.changed = threading.Condition()
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -95,11 +99,11 @@
                 if url.path.endswith("log-newest"):
                     items = [{"key": key, "value": base64.b64encode(value).decode()}
                              for key, value in records.items()]
-                    self.reply(json.dumps(
-                        {"items": items, "has-more": False, "end": len(items)}).encode())
+                    self.reply(json.dumps({"items": items, "has-more": False,
+                                           "end": store.end(query["topic"])}).encode())
                     return
-                time.sleep(min(int(query.get("wait-ms", 0)), 1000) / 1000)
-                self.reply(struct.pack(">QQ", int(query["from"]), 0))
+                self.reply(store.read_from(query["topic"], int(query["from"]),
+                                           min(int(query.get("wait-ms", 0)), 1000) / 1000))
 
             def do_POST(self):
                 self.rfile.read(int(self.headers["Content-Length"]))
@@ -114,6 +118,24 @@
         self.server = Server(("127.0.0.1", 0), Handler)
         self.address = "127.0.0.1:%d" % self.server.server_address[1]
 
+    def end(self, topic):
+        return len(self.records.get(topic, {})) + len(self.appended[topic])
+
+    def put(self, topic, key, value):
+        """Replaces the value of a key that the topic has had from the start."""
+        with self.changed:
+            self.appended[topic].append((self.end(topic), key.encode(), value))
+            self.records[topic][key] = value
+            self.changed.notify_all()
+
+    def read_from(self, topic, start, wait_seconds):
+        with self.changed:
+            self.changed.wait_for(lambda: self.end(topic) > start, wait_seconds)
+            records = [bytes([len(key)]) + key + value
+                       for offset, key, value in self.appended[topic] if offset >= start]
+        return struct.pack(">QQ", start + len(records), 0) + b"".join(
+            struct.pack(">I", len(record)) + record for record in records)
+
     def __enter__(self):
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         return self
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -13,6 +13,7 @@
 - no process outgrows its machine;
 - a task never runs twice at the same time;
 - a job that was only ever rejected has not run;
+- an entry that was undisturbed for a while follows each change of the configuration in time;
 - once the faults are over, an ordinary job at each entry is answered.
 """
 
@@ -32,7 +33,7 @@
 import threading
 import time
 
-from bounded_processes import (HOST, MIB, Agent, Crowd, Entry, ExecutorProcess, StoreStandIn,
+from bounded_processes import (CONFIGURATION, HOST, MIB, Agent, Crowd, Entry, ExecutorProcess, StoreStandIn,
                                free_address, split)
 
 CI_SEEDS = (1, 2, 3, 4)
@@ -41,6 +42,10 @@
 MAX_RESIDENT_BYTES = 100 * MIB
 JOB = {"task-spec": "run-ms=40", "best-effort": True}
 CALLERS = 6
+# An entry that was undisturbed for CONTACT_SECONDS follows a change within APPLY_SECONDS.
+CONTACT_SECONDS = 4
+APPLY_SECONDS = 3
+IDLE_ROUTES = 40
 
 
 def job_body(tasks, **step):
@@ -79,6 +84,10 @@
         self.process = start()
         self.process.__enter__()
         self.is_disturbed = False
+        self.calm_since = time.monotonic()
+
+    def is_in_touch(self):
+        return not self.is_disturbed and time.monotonic() - self.calm_since >= CONTACT_SECONDS
 
     def restart(self):
         self.process.__exit__()
@@ -137,6 +146,61 @@
         self.connection = None
 
 
+class Operator(threading.Thread):
+    """Adds and removes routes, one at a time and in quick succession, and checks at entries in touch
+    that a change is in force in time."""
+
+    def __init__(self, soak, store):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.store = store
+        self.random = random.Random("%s operator" % soak.seed)
+        self.version = CONFIGURATION["version"]
+        self.routes = {"/idle-%d/" % number: True for number in range(IDLE_ROUTES)}
+        self.checks = 0
+
+    def run(self):
+        while not self.soak.is_over.is_set():
+            for _ in range(self.random.choice((1, 1, 10, 60))):
+                self.change()
+                time.sleep(self.random.uniform(0.01, 0.06))
+            time.sleep(APPLY_SECONDS)
+            self.check([entry for entry in self.soak.entries if entry.is_in_touch()])
+
+    def change(self):
+        prefix = self.random.choice(list(self.routes))
+        self.routes[prefix] = not self.routes[prefix]
+        self.version += self.random.randint(1, 4)
+        routes = [{"name": prefix, "host": HOST, "path-prefix": prefix, "service": "s"}
+                  for prefix, is_present in self.routes.items() if is_present]
+        self.store.put("keyed.op", "config", json.dumps(
+            {**CONFIGURATION, "version": self.version,
+             "routes": CONFIGURATION["routes"] + routes}).encode())
+
+    def check(self, entries):
+        for entry in entries:
+            for prefix in self.random.sample(list(self.routes), 5):
+                status = self.ask(entry, prefix)
+                is_old = status == (404 if self.routes[prefix] else 200)
+                if is_old and entry.is_in_touch():
+                    self.soak.find("%s answers %s for %s, version %d has been in the store for %d s: %s"
+                                   % (entry.name, status, prefix, self.version, APPLY_SECONDS,
+                                      self.soak.log_tail(entry)))
+                self.checks += status in (200, 404)
+
+    @staticmethod
+    def ask(entry, prefix):
+        """Returns nothing if the entry has no room for the connection."""
+        connection = http.client.HTTPConnection(*split(entry.process.http_address), timeout=2)
+        try:
+            connection.request("GET", prefix, headers={"Host": HOST})
+            return connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            return None
+        finally:
+            connection.close()
+
+
 class Soak:
     def __init__(self, seed, entries, agents, exits):
         self.seed = seed
@@ -147,6 +211,7 @@
         self.is_over = threading.Event()
         self.journals = pathlib.Path(exits.enter_context(tempfile.TemporaryDirectory()))
         store = exits.enter_context(StoreStandIn())
+        self.operator = Operator(self, store)
         self.entries = [self.add("entry-%d" % number, self.make_entry(number, store))
                         for number in range(1, entries + 1)]
         seeds = [entry.process.link_address for entry in self.entries][:3]
@@ -221,6 +286,7 @@
             self.kill(member)
         else:
             self.freeze(member, seconds)
+        member.calm_since = time.monotonic()
         member.is_disturbed = False
 
     def run(self):
@@ -233,6 +299,7 @@
         callers = [Caller(self, number) for number in range(CALLERS)]
         for caller in callers:
             caller.start()
+        self.operator.start()
         end = time.monotonic() + FAULT_SECONDS
         with contextlib.ExitStack() as crowds, concurrent.futures.ThreadPoolExecutor(8) as faults:
             for number, crowd in enumerate(self.random.sample(CROWDS, 3)):
@@ -250,11 +317,14 @@
         self.is_over.set()
         for caller in callers:
             caller.join()
+        self.operator.join()
         for entry in self.entries:
             status = entry.process.wait_for_job(attempts=15)
             if status != 200:
                 self.find("%s answers %s at the end: %s" % (entry.name, status,
                                                             self.log_tail(entry)))
+        time.sleep(CONTACT_SECONDS)
+        self.operator.check(self.entries)
         for member in self.entries + self.agents:
             self.check_process(member)
         self.check_journals()
@@ -287,8 +357,9 @@
         answers = collections.Counter(statuses[-1] for statuses in soak.statuses.values()
                                       if statuses)
         peak = max(member.process.peak_bytes for member in soak.entries + soak.agents) / MIB
-        print("seed %s: %d findings, answers %s, peak %.0f MiB, %.0f s" % (
-            seed, len(soak.findings), dict(answers), peak, time.monotonic() - began), flush=True)
+        print("seed %s: %d findings, answers %s, version %d, %d routes asked for, peak %.0f MiB, "
+              "%.0f s" % (seed, len(soak.findings), dict(answers), soak.operator.version,
+                          soak.operator.checks, peak, time.monotonic() - began), flush=True)
         for finding in soak.findings:
             print("  " + finding, flush=True)
         return not soak.findings
