Ask for the configuration in the hello of an agent without links

What callers would see: tasks that start in an evacuated zone for up to 250 ms after an agent has started or was cut off. Only agents check whether their zone is in service.

Cause: took the configuration out of the answer to an agent's hello, and an agent asks for it only once it has heard of a newer one.

Change: an agent that is linked to no entry asks in its hello, and gets the configuration in the first frame, before any order. The test of the agent failed before and passes; that of the entry is a guard.

--- a/filbertroad/node/agent_node_test.cpp
+++ b/filbertroad/node/agent_node_test.cpp
@@ -71,6 +71,7 @@
     std::uint64_t announced_offset = 0;
     std::optional<dispatch::control_snapshot> snapshot;
     bool wants_snapshot = false;
+    bool hello_wants_snapshot = false;
     std::unique_ptr<net::link_server> listener = std::move(
         net::link_server::listen(this->io, "127.0.0.1:0",
                                  {.on_open = [](std::shared_ptr<net::link> const&) {},
@@ -90,6 +91,7 @@
         frame answer;
         if (content->sender_agent)
         {
+            this->hello_wants_snapshot = content->wants_snapshot;
             this->entry_link = link;
             answer.sender_entry = dispatch::process_id{"entry", 1};
         }
@@ -101,7 +103,8 @@
                 this->echoes_stamps ? this->newest_stamp_ms : 0, this->announced_offset};
         }
         this->reports.insert(this->reports.end(), content->reports.begin(), content->reports.end());
-        this->wants_snapshot = this->wants_snapshot || content->wants_snapshot;
+        this->wants_snapshot =
+            this->wants_snapshot || (content->wants_snapshot && !content->sender_agent);
         if (content->snapshot)
         {
             this->snapshot = content->snapshot;
@@ -207,6 +210,17 @@
     EXPECT_FALSE(this->wants_snapshot);
 }
 
+// Guards against starts in a zone that was taken out of service: only agents check the zone, and an
+// agent that has just started, or was cut off, does not know of it. The configuration has to be in
+// the first frame of the entry, before any order.
+TEST_F(agent_node_test, agent_without_a_linked_entry_asks_for_the_configuration_in_its_hello)
+{
+    EXPECT_TRUE(this->hello_wants_snapshot);
+    this->hello_wants_snapshot = false;
+    this->entry_link->close();
+    EXPECT_TRUE(net::internal::run_until(this->io, [this] { return this->hello_wants_snapshot; }));
+}
+
 // Guards against an agent that keeps an old configuration beside entries that wait for requests.
 TEST_F(agent_node_test, agent_asks_for_a_configuration_that_an_entry_announces)
 {
--- a/filbertroad/node/control_propagation_test.cpp
+++ b/filbertroad/node/control_propagation_test.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -235,6 +236,32 @@
     ASSERT_TRUE(this->wait_for_all(1 + 2 * changes));
 }
 
+// Guards against starts in a zone that was taken out of service, by an agent that has just started:
+// it has to know the zone before the first order.
+TEST_F(control_propagation_test, configuration_that_a_hello_asks_for_is_in_the_first_frame)
+{
+    this->start(1, 1);
+    std::optional<frame> first;
+    auto const new_agent =
+        net::link::connect(this->io, this->address_of_first_entry,
+                           {.on_open =
+                                [](std::shared_ptr<net::link> const& link)
+                            {
+                                frame hello;
+                                hello.sender_agent = dispatch::process_id{"new-agent", 1};
+                                hello.wants_snapshot = true;
+                                link->send(encode_frame(hello));
+                            },
+                            .on_message = [&](std::shared_ptr<net::link> const& /*link*/,
+                                              wire::link_message const& message)
+                            { first = first ? first : decode_frame(message); },
+                            .on_closed = [](std::shared_ptr<net::link> const&,
+                                            base::error<net::net_error> const&) {}});
+    ASSERT_TRUE(net::internal::run_until(this->io, [&] { return first.has_value(); }));
+    ASSERT_TRUE(first->snapshot);
+    EXPECT_EQ(first->snapshot->offset, 1U);
+}
+
 // Guards against agents of an earlier version that keep an old configuration while the fleet is
 // upgraded: they do not ask for a newer one.
 TEST_F(control_propagation_test, agent_of_an_earlier_version_gets_each_configuration_unasked)
--- a/filbertroad/node/internal/entry_connections.cpp
+++ b/filbertroad/node/internal/entry_connections.cpp
@@ -137,6 +137,9 @@
     entry->last_received = this->clock.steady_now();
     frame hello;
     hello.sender_agent = this->identity;
+    // Orders may follow the answer at once, and only the agent checks whether its zone is in
+    // service. An agent that is linked to an entry follows the configuration already.
+    hello.wants_snapshot = !this->has_linked_entry();
     link->send(encode_frame(hello));
 }
 
