Stand-in of an executor: runs end with their lease, also if it did not run at that time

Run 1 of each, of 40 ms, was listed as done 1,082 ms after its start, beyond its lease of 600 ms.

The stand-in now ends runs at the end of the lease before it handles anything else. A start within the lease of an earlier run is found as before.

--- a/tests/executor_standin.py
+++ b/tests/executor_standin.py
@@ -37,24 +37,37 @@
     def clock_ms(self):
         return int(time.monotonic() * 1000)
 
-    def record(self, what, task, run):
+    def record(self, what, task, run, seconds=None):
         if self.journal:
-            self.journal.write("%.6f %s %s %d\n" % (time.monotonic(), what, task, run))
+            seconds = time.monotonic() if seconds is None else seconds
+            self.journal.write("%.6f %s %s %d\n" % (seconds, what, task, run))
             self.journal.flush()
 
+    def lapse(self):
+        """Ends all runs if the lease is over. They ended with it, also if this process did not run
+        at that time."""
+        if self.clock_ms() >= self.lease_end:
+            for task in list(self.running):
+                self.remove(task, "lapsed", self.lease_end / 1000)
+
     def end(self, task, how):
+        self.lapse()
+        self.remove(task, how)
+
+    def remove(self, task, how, seconds=None):
         entry = self.running.pop(task, None)
         if entry is None:
             return
         run, timer = entry
         timer.cancel()
-        self.record(how, task, run)
+        self.record(how, task, run, seconds)
         self.last_number += 1
         self.finished.append([self.last_number, task, run, how, ""])
         self.changed.set()
 
     def renew(self, body):
         """Extends the lease of everything that runs, at most to MAX_LEASE_MS from now."""
+        self.lapse()
         if "deadline-ms" in body:
             end = min(body["deadline-ms"], self.clock_ms() + MAX_LEASE_MS)
             self.lease_end = max(self.lease_end, end)
@@ -109,9 +122,7 @@
     async def expire(self):
         while True:
             await asyncio.sleep(0.005)
-            if self.running and self.clock_ms() >= self.lease_end:
-                for task in list(self.running):
-                    self.end(task, "lapsed")
+            self.lapse()
 
     async def answer(self, path, body):
         if path.endswith("run-start"):
