--- a/filbertroad/dispatch/control_snapshot.hpp
+++ b/filbertroad/dispatch/control_snapshot.hpp
@@ -2,11 +2,12 @@
 #define FILBERTROAD_DISPATCH_CONTROL_SNAPSHOT_HPP
 
 /// Configuration at one offset of the platform's log: routes, and zones out of service. Every
-/// process keeps the snapshot with the highest offset that it has received and forwards it to peers
-/// with a lower offset. A process that cannot read the log therefore still receives its changes.
+/// process keeps the snapshot with the highest offset that it has received and sends it to peers
+/// that ask for it (dispatch::snapshot_fetcher). A process that cannot read the log therefore still
+/// receives its changes.
 ///
 ///     dispatch::control_snapshot_store control;
-///     if (control.update_if_newer(snapshot)) notify_peers(control.current());
+///     if (control.update_if_newer(snapshot)) log_applied(control.current());
 ///     auto const* route = control.find_route(host, path);
 
 #include "filbertroad/dispatch/messages.hpp"
--- a/filbertroad/node/entry_node.hpp
+++ b/filbertroad/node/entry_node.hpp
@@ -73,8 +73,9 @@
     [[nodiscard]] virtual std::size_t waiting_callers() const = 0;
 
     [[nodiscard]] virtual dispatch::control_snapshot_store const& control() const = 0;
-    /// Takes a snapshot read from the platform if it is newer than the current one, and then sends
-    /// it to all agents. Other entries get it from agents or in a hello.
+    /// Takes a snapshot read from the platform if it is newer than the current one. Agents ask for
+    /// it once they have its offset from a heartbeat; other entries get it from agents or in a
+    /// hello.
     virtual void offer_snapshot(dispatch::control_snapshot snapshot) = 0;
     /// Adds an entry found in the platform's records; its address is sent to all agents, which
     /// connect to it.
